--- a/src/main/java/kestrelnotch/Balancer.java
+++ b/src/main/java/calicochute/decision/Balancer.java
@@ -1,4 +1,4 @@
-package kestrelnotch;
+package calicochute.decision;
 
 import java.util.List;
 
--- a/src/main/java/kestrelnotch/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -1,14 +1,14 @@
-package kestrelnotch;
+package calicochute.decision;
 
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
-import kestrelnotch.Track.Attempt;
-import kestrelnotch.Track.Request;
-import kestrelnotch.Track.Seen;
-import kestrelnotch.Track.Server;
+import calicochute.decision.Track.Attempt;
+import calicochute.decision.Track.Request;
+import calicochute.decision.Track.Seen;
+import calicochute.decision.Track.Server;
 
 /**
  * Every decision of the balancer; its interface (settings, events, actions) is Balancer.java.
--- a/src/main/java/kestrelnotch/Track.java
+++ b/src/main/java/calicochute/decision/Track.java
@@ -1,7 +1,7 @@
-package kestrelnotch;
+package calicochute.decision;
 
 import java.util.Arrays;
-import kestrelnotch.Balancer.Backend;
+import calicochute.decision.Balancer.Backend;
 
 /** What Choice keeps of backends, requests and attempts: data and the links between them, no decisions. */
 final class Track {
--- a/src/main/java/kestrelnotch/wire/Host.java
+++ b/src/main/java/calicochute/wire/Host.java
@@ -1,4 +1,4 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import kestrelnotch.Balancer;
-import kestrelnotch.Balancer.Backend;
-import kestrelnotch.Balancer.BackendState;
-import kestrelnotch.Balancer.Event;
-import kestrelnotch.Balancer.ListKind;
-import kestrelnotch.Balancer.Outcome;
-import kestrelnotch.Balancer.Settings;
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.Event;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.Settings;
 
 /** Hosts many instances on the wire: translates batches to events and actions to replies, and decides nothing. */
 public final class Host {
--- a/src/main/java/kestrelnotch/wire/LineReader.java
+++ b/src/main/java/calicochute/wire/LineReader.java
@@ -1,4 +1,4 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/kestrelnotch/wire/ReplyWriter.java
+++ b/src/main/java/calicochute/wire/ReplyWriter.java
@@ -1,11 +1,11 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Base64;
-import kestrelnotch.Balancer.Actions;
+import calicochute.decision.Balancer.Actions;
 
 /** Writes the actions of the instance at hand as reply lines. */
 final class ReplyWriter implements Actions {
--- a/src/main/java/kestrelnotch/wire/SettingsParser.java
+++ b/src/main/java/calicochute/wire/SettingsParser.java
@@ -1,17 +1,17 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import kestrelnotch.Balancer.Effect;
-import kestrelnotch.Balancer.Goal;
-import kestrelnotch.Balancer.KeyScope;
-import kestrelnotch.Balancer.Limits;
-import kestrelnotch.Balancer.RequestClass;
-import kestrelnotch.Balancer.Rules;
-import kestrelnotch.Balancer.Settings;
-import kestrelnotch.Balancer.Tenant;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.Goal;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.Limits;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Rules;
+import calicochute.decision.Balancer.Settings;
+import calicochute.decision.Balancer.Tenant;
 
 /** Turns the flattened path=value pairs of a birth into {@link Settings}; unknown paths are ignored. */
 final class SettingsParser {
--- a/src/main/java/kestrelnotch/wire/WireException.java
+++ b/src/main/java/calicochute/wire/WireException.java
@@ -1,4 +1,4 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 /** Malformed input; the message names the line and what is wrong with it. */
 public final class WireException extends Exception {
--- a/src/test/java/kestrelnotch/Fixture.java
+++ b/src/test/java/calicochute/decision/Fixture.java
@@ -1,27 +1,27 @@
-package kestrelnotch;
+package calicochute.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import kestrelnotch.Balancer.Actions;
-import kestrelnotch.Balancer.Arrival;
-import kestrelnotch.Balancer.AttemptEnded;
-import kestrelnotch.Balancer.Backend;
-import kestrelnotch.Balancer.BackendList;
-import kestrelnotch.Balancer.BackendState;
-import kestrelnotch.Balancer.Effect;
-import kestrelnotch.Balancer.Event;
-import kestrelnotch.Balancer.Goal;
-import kestrelnotch.Balancer.KeyScope;
-import kestrelnotch.Balancer.Limits;
-import kestrelnotch.Balancer.ListKind;
-import kestrelnotch.Balancer.Outcome;
-import kestrelnotch.Balancer.RequestClass;
-import kestrelnotch.Balancer.Rules;
-import kestrelnotch.Balancer.Settings;
-import kestrelnotch.Balancer.Timer;
+import calicochute.decision.Balancer.Actions;
+import calicochute.decision.Balancer.Arrival;
+import calicochute.decision.Balancer.AttemptEnded;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendList;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.Event;
+import calicochute.decision.Balancer.Goal;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.Limits;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Rules;
+import calicochute.decision.Balancer.Settings;
+import calicochute.decision.Balancer.Timer;
 
 /** One instance under test with a host that only writes down what it is asked to do. */
 final class Fixture implements Actions {
--- a/src/test/java/kestrelnotch/MechanismTest.java
+++ b/src/test/java/calicochute/decision/MechanismTest.java
@@ -1,9 +1,9 @@
-package kestrelnotch;
+package calicochute.decision;
 
-import static kestrelnotch.Fixture.SECOND;
-import static kestrelnotch.Fixture.backend;
-import static kestrelnotch.Fixture.requestClass;
-import static kestrelnotch.Fixture.settings;
+import static calicochute.decision.Fixture.SECOND;
+import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.requestClass;
+import static calicochute.decision.Fixture.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -14,12 +14,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import kestrelnotch.Balancer.Backend;
-import kestrelnotch.Balancer.Effect;
-import kestrelnotch.Balancer.KeyScope;
-import kestrelnotch.Balancer.Outcome;
-import kestrelnotch.Balancer.RequestClass;
-import kestrelnotch.Balancer.Settings;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Settings;
 import org.junit.jupiter.api.Test;
 
 /** The parts of the mechanism, against numbers worked out by hand. */
--- a/src/test/java/kestrelnotch/RulesTest.java
+++ b/src/test/java/calicochute/decision/RulesTest.java
@@ -1,24 +1,24 @@
-package kestrelnotch;
+package calicochute.decision;
 
-import static kestrelnotch.Fixture.SECOND;
-import static kestrelnotch.Fixture.backend;
-import static kestrelnotch.Fixture.requestClass;
-import static kestrelnotch.Fixture.settings;
-import static kestrelnotch.Fixture.with;
+import static calicochute.decision.Fixture.SECOND;
+import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.requestClass;
+import static calicochute.decision.Fixture.settings;
+import static calicochute.decision.Fixture.with;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import kestrelnotch.Balancer.Backend;
-import kestrelnotch.Balancer.BackendState;
-import kestrelnotch.Balancer.ClientGone;
-import kestrelnotch.Balancer.Effect;
-import kestrelnotch.Balancer.KeyScope;
-import kestrelnotch.Balancer.Limits;
-import kestrelnotch.Balancer.ListKind;
-import kestrelnotch.Balancer.Outcome;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.ClientGone;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.Limits;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/test/java/kestrelnotch/ShapeTest.java
+++ b/src/test/java/calicochute/decision/ShapeTest.java
@@ -1,4 +1,4 @@
-package kestrelnotch;
+package calicochute.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +10,7 @@
 
 /** The module stays small enough to be ported by hand. */
 class ShapeTest {
-    private static final Path CHOICE = Path.of("src/main/java/kestrelnotch/Choice.java");
+    private static final Path CHOICE = Path.of("src/main/java/calicochute/decision/Choice.java");
 
     @Test
     void moduleStaysWithinItsLines() throws IOException {
--- a/src/test/java/kestrelnotch/example/Example.java
+++ b/src/test/java/calicochute/example/Example.java
@@ -1,8 +1,8 @@
-package kestrelnotch.example;
+package calicochute.example;
 
 import java.util.List;
-import kestrelnotch.Balancer;
-import kestrelnotch.Balancer.*;
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.*;
 
 public final class Example {
     private static String done = "";
--- a/src/test/java/kestrelnotch/wire/HostTest.java
+++ b/src/test/java/calicochute/wire/HostTest.java
@@ -1,4 +1,4 @@
-package kestrelnotch.wire;
+package calicochute.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -9,10 +9,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import kestrelnotch.Balancer;
-import kestrelnotch.Balancer.Actions;
-import kestrelnotch.Balancer.Event;
-import kestrelnotch.Balancer.Settings;
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.Actions;
+import calicochute.decision.Balancer.Event;
+import calicochute.decision.Balancer.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
