--- /dev/null
+++ b/src/main/java/calicochute/backend/BackendServer.java
@@ -0,0 +1,33 @@
+package calicochute.backend;
+
+import calicochute.connection.Connection;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+
+/** One backend server's address and the connections to it that stand idle, the latest used first. */
+final class BackendServer {
+    record Idle(Connection connection, long since) { }
+
+    InetSocketAddress address;
+    final ArrayDeque<Idle> idle = new ArrayDeque<>();
+
+    /** Takes an idle connection that is still open; null if there is none. */
+    Connection take() {
+        for (Idle next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+            if (next.connection().open()) {
+                return next.connection();
+            }
+        }
+        return null;
+    }
+
+    /** Closes those idle since before that time; tells how many. */
+    int closeIdleSince(long time) {
+        int closed = 0;
+        while (!idle.isEmpty() && idle.peekLast().since() <= time) {
+            idle.pollLast().connection().close();
+            closed++;
+        }
+        return closed;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/backend/DispatchListener.java
@@ -0,0 +1,13 @@
+package calicochute.backend;
+
+import calicochute.decision.Balancer.Outcome;
+import calicochute.exchange.Answer;
+import calicochute.exchange.Dispatch;
+
+/** Hears on the decision thread how dispatches and probes ended, each exactly once. */
+public interface DispatchListener {
+    /** {@code served} is the answer where the outcome is OK, else null; {@code load} may be null. */
+    void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer.Served served, double[] load);
+
+    void probeEnded(String server, Outcome outcome, long elapsed, double[] load);
+}
--- a/src/main/java/calicochute/cli/Main.java
+++ b/src/main/java/calicochute/cli/Main.java
@@ -1,30 +1,44 @@
 package calicochute.cli;
 
-import java.io.BufferedOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import java.io.OutputStream;
-import calicochute.decision.Balancer;
-import calicochute.wire.Host;
-import calicochute.wire.WireException;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
-/** Command line entry: {@code wirehost} speaks the adapter's wire on standard input and output. */
+/** Command line entry: picks the sub-command. */
 public final class Main {
     private Main() {
     }
 
+    /** One sub-command; what it throws ends the program with a plain message. */
+    interface Command {
+        void run() throws Exception;
+    }
+
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: calicochute wirehost");
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("serve", new ServeCommand());
+        commands.put("wirehost", new WireHostCommand());
+        commands.put("check", new CheckCommand());
+        commands.put("version", new VersionCommand());
+        JCommander.Builder builder = JCommander.newBuilder().programName("calicochute");
+        commands.forEach(builder::addCommand);
+        JCommander parser = builder.build();
+        try {
+            parser.parse(args);
+            if (parser.getParsedCommand() == null) {
+                throw new ParameterException("no command given");
+            }
+        } catch (ParameterException e) {
+            StringBuilder usage = new StringBuilder();
+            parser.getUsageFormatter().usage(usage);
+            System.err.println("calicochute: " + e.getMessage() + "\n" + usage);
             System.exit(2);
         }
         try {
-            OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
-            new Host(new FileInputStream(FileDescriptor.in), out, Balancer::create).run();
-        } catch (WireException | IOException e) {
-            System.err.println("calicochute: " + e.getMessage());
+            commands.get(parser.getParsedCommand()).run();
+        } catch (Exception e) {
+            System.err.println("calicochute: " + (e.getMessage() == null ? e : e.getMessage()));
             System.exit(1);
         }
     }
--- /dev/null
+++ b/src/main/java/calicochute/cli/ServeCommand.java
@@ -0,0 +1,38 @@
+package calicochute.cli;
+
+import calicochute.metrics.Counters;
+import calicochute.metrics.Log;
+import calicochute.node.Node;
+import calicochute.settings.Configuration;
+import calicochute.settings.SettingsException;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+
+/** Runs one real balancer until it is told to stop. */
+@Parameters(commandDescription = "Run one balancer on real sockets")
+final class ServeCommand implements Main.Command {
+    @ParametersDelegate
+    private final ConfigurationOption configuration = new ConfigurationOption();
+
+    @Override
+    public void run() throws SettingsException, IOException, InterruptedException {
+        Configuration told = configuration.read();
+        Counters counters = new Counters();
+        Node node = new Node(told, counters);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
+        Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
+    }
+
+    /** On SIGTERM: everything taken is answered, the counters are printed, and the exit status is 0. */
+    private static void stop(Node node, Counters counters) {
+        try {
+            node.drain();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Log.info("counters", counters.text().trim().replace('\n', ','));
+        System.out.flush();
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/connection/Connection.java
@@ -0,0 +1,53 @@
+package calicochute.connection;
+
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+
+/** One connection to a server. Calls go one at a time; closing it gives up the call that is out. */
+public final class Connection {
+    /** Told on an I/O thread when the connection has ended, by whichever side. */
+    private final Consumer<Connection> onClosed;
+    private volatile IOSession session;
+    private volatile boolean closed;
+
+    Connection(Consumer<Connection> onClosed) {
+        this.onClosed = onClosed;
+    }
+
+    void opened(IOSession opened) {
+        session = opened;
+        if (closed) {
+            opened.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    void disconnected() {
+        closed = true;
+        onClosed.accept(this);
+    }
+
+    public boolean open() {
+        return !closed && session != null && session.isOpen();
+    }
+
+    /** Sends one request; {@code end} hears on an I/O thread how it ended. */
+    public void call(HttpRequest request, byte[] body, int bodyLimit, Consumer<Reply> end) {
+        Call call = new Call(request, body, bodyLimit, end);
+        call.on(((HttpConnection) session.getHandler()).getEndpointDetails());
+        session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
+    }
+
+    public void close() {
+        closed = true;
+        IOSession open = session;
+        if (open != null) {
+            open.close(CloseMode.IMMEDIATE);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/connection/Connector.java
@@ -0,0 +1,83 @@
+package calicochute.connection;
+
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.apache.hc.core5.concurrent.DefaultThreadFactory;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/** Opens connections to servers of any sort; one I/O thread carries them all. */
+public final class Connector implements AutoCloseable {
+    private final ClientHttp1StreamDuplexerFactory duplexers = new ClientHttp1StreamDuplexerFactory(
+        HttpProcessorBuilder.create().build(), Http1Config.DEFAULT, CharCodingConfig.DEFAULT);
+    private final DefaultConnectingIOReactor reactor;
+
+    public Connector() {
+        IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+            .setSelectInterval(TimeValue.ofMilliseconds(50)).build();
+        reactor = new DefaultConnectingIOReactor(this::handler, config,
+            new DefaultThreadFactory("backend-io", true), null, null, null, null);
+    }
+
+    public void start() {
+        reactor.start();
+    }
+
+    /**
+     * Opens a connection. Each callback runs on an I/O thread: {@code opened} with a usable connection, {@code failed}
+     * with the reason, {@code closed} when an opened one ends.
+     */
+    public Connection open(InetSocketAddress address, long timeoutMicros, Consumer<Connection> opened,
+                           Consumer<Exception> failed, Consumer<Connection> closed) {
+        Connection connection = new Connection(closed);
+        Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000));
+        reactor.connect(new HttpHost(address.getAddress(), address.getPort()), address, null, timeout, connection,
+            new FutureCallback<IOSession>() {
+                @Override
+                public void completed(IOSession session) {
+                    connection.opened(session);
+                    opened.accept(connection);
+                }
+
+                @Override
+                public void failed(Exception cause) {
+                    failed.accept(cause);
+                }
+
+                @Override
+                public void cancelled() {
+                    failed.accept(new java.io.IOException("cancelled"));
+                }
+            });
+        return connection;
+    }
+
+    private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
+        session.setSocketTimeout(Timeout.DISABLED);
+        return new ClientHttp1IOEventHandler(duplexers.create(session)) {
+            @Override
+            public void disconnected(IOSession ended) {
+                super.disconnected(ended);
+                ((Connection) attachment).disconnected();
+            }
+        };
+    }
+
+    @Override
+    public void close() {
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/exchange/Answer.java
@@ -0,0 +1,15 @@
+package calicochute.exchange;
+
+import java.util.List;
+
+/** The one final answer of a session. */
+public sealed interface Answer {
+    /** A backend server's answer, unchanged. */
+    record Served(List<Field> fields, byte[] body) implements Answer { }
+
+    /** Not done, and trying again does no harm; {@code retryAfter} in microseconds, 0 for no advice. */
+    record Denied(long retryAfter) implements Answer { }
+
+    /** Failed, with nothing promised of its effect. */
+    record Failed(boolean late) implements Answer { }
+}
--- /dev/null
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -0,0 +1,107 @@
+package calicochute.frontend;
+
+import calicochute.exchange.DecisionQueue;
+import calicochute.exchange.Sessions;
+import calicochute.metrics.Counters;
+import calicochute.metrics.Log;
+import calicochute.settings.Configuration;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import java.util.function.BooleanSupplier;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestValidateHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.io.Closer;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/** The clients' side: an HTTP server whose requests become exchanges. One I/O thread carries all connections. */
+public final class Frontend implements AutoCloseable {
+    private static final String READY = "/ready";
+    private static final String COUNTERS = "/counters";
+    private final SessionReader reader;
+    private final DecisionQueue clock;
+    private final Sessions sessions;
+    private final Counters counters;
+    private final BooleanSupplier ready;
+    private final HttpAsyncServer server;
+    private ListenerEndpoint listener;
+    private volatile boolean closing;
+
+    public Frontend(Configuration configuration, DecisionQueue clock, Sessions sessions, Counters counters,
+                    BooleanSupplier ready) {
+        reader = new SessionReader(configuration.settings());
+        this.clock = clock;
+        this.sessions = sessions;
+        this.counters = counters;
+        this.ready = ready;
+        server = AsyncServerBootstrap.bootstrap()
+            .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
+                .setSoReuseAddress(true).setSoTimeout(Timeout.ofMinutes(2))
+                .setSelectInterval(TimeValue.ofMilliseconds(100)).build())
+            .setHttpProcessor(HttpProcessorBuilder.create().add(new RequestValidateHost()).build())
+            .setExceptionCallback(e -> Log.info("client-connection", String.valueOf(e.getMessage())))
+            .setRequestRouter((request, context) -> () -> new SessionHandler(this))
+            .create();
+    }
+
+    /** Starts to listen and returns the address in use. */
+    public InetSocketAddress start(InetSocketAddress address) throws IOException, InterruptedException {
+        server.start();
+        try {
+            listener = server.listen(address, URIScheme.HTTP).get();
+        } catch (ExecutionException e) {
+            throw new IOException("cannot listen at " + address + ": " + e.getCause().getMessage(), e);
+        }
+        return (InetSocketAddress) listener.getAddress();
+    }
+
+    /** From now on each answer is the last on its connection. */
+    public void closeAfterAnswers() {
+        closing = true;
+    }
+
+    public void stopListening() {
+        Closer.closeQuietly(listener);
+    }
+
+    @Override
+    public void close() {
+        server.close(CloseMode.GRACEFUL);
+    }
+
+    boolean answersItself(String path) {
+        return path.equals(READY) || path.equals(COUNTERS);
+    }
+
+    /** The text of a page of our own; null while not ready. */
+    String page(String path) {
+        return path.equals(COUNTERS) ? counters.text() : ready.getAsBoolean() && !closing ? "ready\n" : null;
+    }
+
+    SessionReader reader() {
+        return reader;
+    }
+
+    long now() {
+        return clock.now();
+    }
+
+    Sessions sessions() {
+        return sessions;
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
+    boolean closing() {
+        return closing;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/frontend/SessionReader.java
@@ -0,0 +1,110 @@
+package calicochute.frontend;
+
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Settings;
+import calicochute.exchange.Exchange;
+import calicochute.exchange.Field;
+import calicochute.exchange.Message;
+import calicochute.exchange.Respondent;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpRequest;
+
+/** Takes from a request's head the fields that decisions need, and refuses what is not a session. */
+final class SessionReader {
+    /** Fields that belong to one connection, or that the dispatch words anew. */
+    private static final Set<String> NOT_PASSED = Set.of("connection", "keep-alive", "proxy-connection", "te",
+        "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "x-remaining-ms");
+    private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final long LONGEST_WAIT_MS = 3_600_000;
+    private final AtomicLong lastId = new AtomicLong();
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+    private final Settings settings;
+
+    /** A request that is not a session as the protocol has it, with the status that says so. */
+    static final class BadInput extends Exception {
+        private static final long serialVersionUID = 1L;
+        final int status;
+
+        BadInput(int status, String message) {
+            super(message);
+            this.status = status;
+        }
+    }
+
+    SessionReader(Settings settings) {
+        this.settings = settings;
+        settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
+        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
+    }
+
+    Exchange read(HttpRequest request, byte[] body, long now, Respondent respondent) throws BadInput {
+        String clientId = one(request, "X-Txn", true);
+        if (!ID.matcher(clientId).matches()) {
+            throw new BadInput(400, "X-Txn is not 16 hex digits");
+        }
+        int classIndex = index(classes, one(request, "X-Lane", true), "X-Lane");
+        String tenant = one(request, "X-Org", !tenants.isEmpty());
+        int tenantIndex = tenants.isEmpty() ? -1 : index(tenants, tenant, "X-Org");
+        long deadline = now + 1000 * wait(one(request, "X-Remaining-Ms", true));
+        RequestClass c = settings.classes().get(classIndex);
+        if (!request.getMethod().equals(c.effect() == Effect.REPEATABLE ? "GET" : "POST")) {
+            throw new BadInput(405, request.getMethod() + " does not go with the class " + c.name());
+        }
+        // Guards against a keyed session without its key: no backend server could drop its repeat.
+        String key = one(request, "Idempotency-Key", c.effect() == Effect.KEYED);
+        if (key != null && key.isBlank()) {
+            throw new BadInput(400, "Idempotency-Key is empty");
+        }
+        Message message = new Message(request.getMethod(), request.getPath(), passed(request), body);
+        return new Exchange(lastId.incrementAndGet(), clientId, message, classIndex, tenantIndex,
+            "1".equals(one(request, "X-Resent", false)), now, deadline, respondent);
+    }
+
+    private static List<Field> passed(HttpRequest request) {
+        List<Field> fields = new ArrayList<>();
+        for (Header header : request.getHeaders()) {
+            if (!NOT_PASSED.contains(header.getName().toLowerCase(Locale.ROOT))) {
+                fields.add(new Field(header.getName(), header.getValue()));
+            }
+        }
+        return fields;
+    }
+
+    private static String one(HttpRequest request, String name, boolean needed) throws BadInput {
+        Header[] headers = request.getHeaders(name);
+        if (headers.length > 1 || headers.length == 0 && needed) {
+            throw new BadInput(400, name + (headers.length > 1 ? " is given twice" : " is missing"));
+        }
+        return headers.length == 0 ? null : headers[0].getValue();
+    }
+
+    private static int index(Map<String, Integer> names, String name, String header) throws BadInput {
+        Integer index = names.get(name);
+        if (index == null) {
+            throw new BadInput(400, header + " names nothing in the settings");
+        }
+        return index;
+    }
+
+    private static long wait(String text) throws BadInput {
+        try {
+            long wait = Long.parseLong(text);
+            if (wait >= 0 && wait <= LONGEST_WAIT_MS) {
+                return wait;
+            }
+        } catch (NumberFormatException e) {
+            throw new BadInput(400, "X-Remaining-Ms is not a whole number");
+        }
+        throw new BadInput(400, "X-Remaining-Ms is out of range");
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/node/Node.java
@@ -0,0 +1,305 @@
+package calicochute.node;
+
+import calicochute.backend.BackendServers;
+import calicochute.backend.DispatchListener;
+import calicochute.connection.Connector;
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.Settings;
+import calicochute.discovery.Discovery;
+import calicochute.discovery.ListListener;
+import calicochute.discovery.ServerList;
+import calicochute.exchange.Answer;
+import calicochute.exchange.DecisionQueue;
+import calicochute.exchange.Dispatch;
+import calicochute.exchange.Exchange;
+import calicochute.exchange.Sessions;
+import calicochute.frontend.Frontend;
+import calicochute.metrics.Counter;
+import calicochute.metrics.Counters;
+import calicochute.metrics.Log;
+import calicochute.settings.Configuration;
+import calicochute.settings.SettingsException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One real balancer: turns what the sockets bring into the module's events, and the module's actions into work for
+ * the sockets. All but the start and the end happens on the decision thread.
+ */
+public final class Node implements Sessions, DispatchListener, ListListener, Balancer.Actions {
+    /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
+    private static final long ANSWER_MARGIN = 15_000;
+    private static final long PROBE_TIMEOUT = 1_000_000;
+    private final Configuration configuration;
+    private final Settings settings;
+    private final Counters counters;
+    private final DecisionQueue queue;
+    private final Connector connector = new Connector();
+    private final BackendServers backend;
+    private final Discovery discovery;
+    private final Frontend frontend;
+    private final Balancer balancer;
+    private final Map<Long, Exchange> open = new HashMap<>();
+    private final Map<Long, DecisionQueue.Alarm> deadlines = new HashMap<>();
+    private final Set<String> clientIds = new HashSet<>();
+    private volatile int unanswered;
+    private volatile boolean ready;
+
+    public Node(Configuration configuration, Counters counters) {
+        this.configuration = configuration;
+        this.counters = counters;
+        settings = configuration.settings();
+        queue = new DecisionThread(counters);
+        balancer = Balancer.create(settings);
+        backend = new BackendServers(connector, queue, counters, settings.reportFields(),
+            settings.limits().connectTimeout(), configuration.connectionIdle(), this);
+        discovery = new Discovery(connector, queue, counters, configuration.discovery(), this);
+        frontend = new Frontend(configuration, queue, this, counters, () -> ready);
+    }
+
+    /** Serves from now on; returns the address it listens at. */
+    public InetSocketAddress start() throws IOException, InterruptedException, SettingsException {
+        ServerList known = configuration.known().isEmpty() ? null : ServerList.parse(configuration.known());
+        connector.start();
+        queue.post(() -> restore(known));
+        return frontend.start(configuration.listen());
+    }
+
+    // ---- The list of servers
+
+    private void restore(ServerList known) {
+        if (known != null) {
+            discovery.startFrom(known.generation());
+        }
+        list(ListKind.RESTORED, known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
+    }
+
+    @Override
+    public void listed(ServerList list) {
+        Log.info("list", "generation=" + list.generation() + " whole=" + list.whole() + " entries="
+            + list.entries().size());
+        list(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+    }
+
+    @Override
+    public void unavailable() {
+        tell(new Balancer.BackendList(ListKind.UNAVAILABLE, List.of()));
+    }
+
+    private void list(ListKind kind, ServerList list) {
+        list.addresses().forEach(backend::address);
+        tell(new Balancer.BackendList(kind, list.entries()));
+        ready |= !list.addresses().isEmpty();
+    }
+
+    // ---- Sessions
+
+    @Override
+    public void taken(Exchange exchange) {
+        queue.post(() -> take(exchange));
+    }
+
+    @Override
+    public void clientGone(Exchange exchange) {
+        queue.post(() -> gone(exchange));
+    }
+
+    private void take(Exchange exchange) {
+        counters.count(Counter.SESSIONS_TAKEN);
+        if (unanswered >= settings.limits().maxOpen()) {
+            counters.count(Counter.SESSIONS_OVER_LIMIT);
+            answer(exchange, new Answer.Denied(settings.limits().maxRetryAfter()));
+            return;
+        }
+        if (!clientIds.add(exchange.clientId)) {
+            // Guards against a second copy: the first session of this name is still being worked on.
+            counters.count(Counter.SESSIONS_BAD_INPUT);
+            answer(exchange, new Answer.Failed(false));
+            return;
+        }
+        open.put(exchange.id, exchange);
+        unanswered = open.size();
+        long left = exchange.deadline - ANSWER_MARGIN - queue.now();
+        deadlines.put(exchange.id, queue.after(Math.max(0, left), () -> overdue(exchange)));
+        tell(new Balancer.Arrival(exchange.id, exchange.classIndex, exchange.tenantIndex, null, Math.max(0, left),
+            exchange.retry));
+    }
+
+    private void gone(Exchange exchange) {
+        if (!exchange.closed()) {
+            counters.count(Counter.SESSIONS_CLIENT_GONE);
+            exchange.abandon();
+            tell(new Balancer.ClientGone(exchange.id));
+            retire(exchange);
+        }
+    }
+
+    /** Guards the rule that no session is lost: whatever the module does, an answer leaves in time. */
+    private void overdue(Exchange exchange) {
+        if (exchange.closed()) {
+            return;
+        }
+        counters.count(Counter.SESSIONS_ENDED_BY_DEADLINE);
+        answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(true) : new Answer.Denied(0));
+        tell(new Balancer.ClientGone(exchange.id));
+        retire(exchange);
+    }
+
+    private void answer(Exchange exchange, Answer answer) {
+        if (exchange.answer(answer)) {
+            counters.count(answer instanceof Answer.Served ? Counter.SESSIONS_SERVED
+                : answer instanceof Answer.Denied ? Counter.SESSIONS_DENIED : Counter.SESSIONS_FAILED);
+            DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
+            if (alarm != null) {
+                alarm.cancel();
+            }
+            retire(exchange);
+        }
+    }
+
+    /** Forgets a session that is closed and has no dispatch out. */
+    private void retire(Exchange exchange) {
+        if (exchange.closed() && !exchange.anyOut() && open.remove(exchange.id) != null) {
+            clientIds.remove(exchange.clientId);
+            DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
+            if (alarm != null) {
+                alarm.cancel();
+            }
+            unanswered = open.size();
+        }
+    }
+
+    // ---- Dispatches
+
+    @Override
+    public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer.Served served, double[] load) {
+        Exchange exchange = dispatch.exchange;
+        boolean first = dispatch.end(outcome);
+        counters.mustHold(first, "a dispatch ended twice");
+        counters.count(Counter.valueOf("DISPATCHES_" + outcome));
+        if (outcome == Outcome.OK) {
+            answer(exchange, served);
+        }
+        tell(new Balancer.AttemptEnded(exchange.id, dispatch.number, dispatch.server, exchange.closed(), outcome,
+            queue.now() - dispatch.sentAt, load));
+        retire(exchange);
+    }
+
+    @Override
+    public void probeEnded(String server, Outcome outcome, long elapsed, double[] load) {
+        if (outcome == Outcome.OK) {
+            counters.count(Counter.PROBES_OK);
+        }
+        tell(new Balancer.Probed(server, outcome, elapsed, load));
+    }
+
+    private void tell(Balancer.Event event) {
+        balancer.on(queue.now(), event, this);
+    }
+
+    // ---- What the module asks for
+
+    @Override
+    public void send(long request, String server, long timeout) {
+        Exchange exchange = open.get(request);
+        if (exchange == null) {
+            counters.mustHold(false, "a dispatch for a session that is over");
+            return;
+        }
+        boolean legal = !exchange.closed() && backend.knows(server) && timeout > 0
+            && exchange.dispatches() < settings.limits().maxAttempts();
+        counters.mustHold(settings.limits().secondCopies() || !exchange.anyOut(), "a second copy of a session");
+        Dispatch dispatch = exchange.dispatch(server, queue.now());
+        if (legal) {
+            backend.send(dispatch, Math.min(timeout, exchange.deadline - ANSWER_MARGIN - queue.now()));
+        } else {
+            queue.post(() -> dispatchEnded(dispatch, Outcome.MOOT, null, null));
+        }
+    }
+
+    @Override
+    public void refuse(long request, long retryAfter) {
+        Exchange exchange = open.get(request);
+        if (exchange != null) {
+            answer(exchange, new Answer.Denied(Math.min(retryAfter, settings.limits().maxRetryAfter())));
+        }
+    }
+
+    @Override
+    public void fail(long request) {
+        Exchange exchange = open.get(request);
+        if (exchange != null) {
+            answer(exchange, new Answer.Failed(exchange.deadline - ANSWER_MARGIN <= queue.now()));
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Exchange exchange = open.get(request);
+        Dispatch dispatch = exchange == null ? null : exchange.dispatch(attempt);
+        if (dispatch != null && dispatch.out()) {
+            // Posted: the module hears of it as an event of its own, not in the midst of this one.
+            queue.post(() -> backend.cancel(dispatch));
+        }
+    }
+
+    @Override
+    public void timer(long delay, int purpose, long subject) {
+        queue.after(delay, () -> tell(new Balancer.Timer(purpose, subject)));
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        discovery.subscribe(on);
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void probe(String server) {
+        if (backend.knows(server)) {
+            backend.probe(server, PROBE_TIMEOUT);
+        }
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        backend.closeIdle(server);
+    }
+
+    @Override
+    public void tell(int peer, byte[] bytes) {
+        counters.mustHold(false, "messages to peers are not carried");
+    }
+
+    @Override
+    public void log(String text) {
+        Log.info("module", text);
+    }
+
+    // ---- The end
+
+    /** Accepts a little longer, answers everything taken, and returns. */
+    public void drain() throws InterruptedException {
+        Log.info("draining", "unanswered=" + unanswered);
+        frontend.closeAfterAnswers();
+        Thread.sleep(550);
+        frontend.stopListening();
+        long latest = System.nanoTime() + 10_000_000_000L;
+        while (unanswered > 0 && System.nanoTime() < latest) {
+            Thread.sleep(10);
+        }
+        frontend.close();
+        Log.info("drained", "unanswered=" + unanswered);
+    }
+}
--- /dev/null
+++ b/src/main/java/calicochute/settings/Configuration.java
@@ -0,0 +1,112 @@
+package calicochute.settings;
+
+import calicochute.decision.Balancer.Settings;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All that one real balancer is told. {@code known} is the list as it last had it, in discovery's form;
+ * {@code connectionIdle} is the time in microseconds after which a backend server drops an idle connection.
+ */
+public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+                            long connectionIdle, String known, Settings settings) {
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
+
+    /** Reads a configuration file; every complaint names the file's faulty entry. */
+    public static Configuration read(Path file) throws SettingsException {
+        try {
+            JsonObject root = JsonParser.parseString(Files.readString(file)).getAsJsonObject();
+            Map<String, String> values = new HashMap<>();
+            flatten("", object(root, "settings"), values);
+            values.put("nonce64", seed(text(root, "seed")));
+            Settings settings = SettingsParser.parse(values);
+            if (settings.classes().isEmpty()) {
+                throw new SettingsException("settings name no classes");
+            }
+            JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
+            return new Configuration(text(root, "name"), address("listen", text(root, "listen")),
+                address("discovery", text(root, "discovery")),
+                limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
+                Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
+                root.has("known") ? root.get("known").toString() : "", settings);
+        } catch (IOException e) {
+            throw new SettingsException("cannot read " + file);
+        } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
+                 | UnsupportedOperationException e) {
+            throw new SettingsException(file + " is not a configuration: " + e.getMessage());
+        }
+    }
+
+    /** Splits host:port. */
+    public static InetSocketAddress address(String what, String text) throws SettingsException {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= 0xffff) {
+                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
+                if (!address.isUnresolved()) {
+                    return address;
+                }
+            }
+        } catch (NumberFormatException e) {
+            throw new SettingsException(what + " is not host:port: '" + text + "'");
+        }
+        throw new SettingsException(what + " is not host:port: '" + text + "'");
+    }
+
+    private static String seed(String hex) throws SettingsException {
+        try {
+            return Long.toString(Long.parseUnsignedLong(hex, 16));
+        } catch (NumberFormatException e) {
+            throw new SettingsException("seed is not a hexadecimal number: '" + hex + "'");
+        }
+    }
+
+    private static String text(JsonObject from, String name) throws SettingsException {
+        if (!from.has(name)) {
+            throw new SettingsException("configuration lacks " + name);
+        }
+        return from.get(name).getAsString();
+    }
+
+    private static JsonObject object(JsonObject from, String name) throws SettingsException {
+        if (!from.has(name) || !from.get(name).isJsonObject()) {
+            throw new SettingsException("configuration lacks the object " + name);
+        }
+        return from.getAsJsonObject(name);
+    }
+
+    /** Nested settings become the wire's pairs: plain lists joined by commas, lists of objects counted. */
+    private static void flatten(String path, JsonElement value, Map<String, String> to) {
+        if (value.isJsonObject()) {
+            value.getAsJsonObject().entrySet().forEach(e ->
+                flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), to));
+        } else if (value.isJsonArray()) {
+            JsonArray items = value.getAsJsonArray();
+            List<String> plain = new ArrayList<>();
+            for (int i = 0; i < items.size(); i++) {
+                if (items.get(i).isJsonObject()) {
+                    flatten(path + "." + i, items.get(i), to);
+                } else {
+                    plain.add(items.get(i).getAsString());
+                }
+            }
+            to.put(path + ".count", "" + items.size());
+            to.put(path, String.join(",", plain));
+        } else if (value.isJsonPrimitive()) {
+            to.put(path, value.getAsString());
+        }
+    }
+}
--- a/src/main/java/calicochute/wire/SettingsParser.java
+++ b/src/main/java/calicochute/settings/SettingsParser.java
@@ -1,7 +1,6 @@
-package calicochute.wire;
+package calicochute.settings;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import calicochute.decision.Balancer.Effect;
@@ -13,24 +12,19 @@
 import calicochute.decision.Balancer.Settings;
 import calicochute.decision.Balancer.Tenant;
 
-/** Turns the flattened path=value pairs of a birth into {@link Settings}; unknown paths are ignored. */
-final class SettingsParser {
-    private final LineReader line;
+/** Turns flattened path=value pairs into {@link Settings}, for both hosts; unknown paths are ignored. */
+public final class SettingsParser {
     private final Map<String, String> values;
 
-    private SettingsParser(LineReader line) {
-        this.line = line;
-        values = new HashMap<>(line.fields() * 2);
-        for (int i = 0; i < line.fields(); i++) {
-            values.put(line.name(i), line.value(i));
-        }
+    private SettingsParser(Map<String, String> values) {
+        this.values = values;
     }
 
-    static Settings parse(LineReader line) throws WireException {
-        return new SettingsParser(line).settings();
+    public static Settings parse(Map<String, String> values) throws SettingsException {
+        return new SettingsParser(values).settings();
     }
 
-    private Settings settings() throws WireException {
+    private Settings settings() throws SettingsException {
         Limits limits = new Limits(flag("caps.cancel"), flag("caps.second_copies"), flag("caps.probes"),
             flag("caps.peers"), flag("caps.retry_after"), (int) number("caps.max_attempts", 1),
             (int) number("caps.max_open", Integer.MAX_VALUE), (int) number("caps.streams_per_conn", 1),
@@ -42,23 +36,30 @@
         Goal goal = new Goal(decimal("goal.whole", 1), decimal("goal.worst_window", 0),
             decimal("goal.worst_class", 0), decimal("goal.worst_tenant", 0), decimal("prices.cross_zone", 0),
             decimal("prices.waste", 0), decimal("prices.late_fail", 0));
-        return new Settings(line.number("nonce64"), (int) number("me", 0), (int) number("balancers", 1),
+        return new Settings(seed(), (int) number("me", 0), (int) number("balancers", 1),
             (int) number("layer", 0), flag("domain.passes_deadline"),
             text("discovery", "pushed").equals("on_request"), flag("client_habits.marks_retry"), text("zone", ""),
             number("tick", 1000), decimal("over_share_worth", 1), reportFields(), classes(), tenants(), limits, rules, goal);
     }
 
+    private long seed() throws SettingsException {
+        if (!values.containsKey("nonce64")) {
+            throw new SettingsException("born lacks nonce64");
+        }
+        return number("nonce64", 0);
+    }
+
     private List<String> reportFields() {
         String fields = text("report.fields", "");
         return fields.isEmpty() ? List.of() : List.of(fields.split(","));
     }
 
-    private List<RequestClass> classes() throws WireException {
+    private List<RequestClass> classes() throws SettingsException {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < number("classes.count", 0); i++) {
             String at = "classes." + i + ".";
             if (!values.containsKey(at + "name")) {
-                throw line.error("born lacks " + at + "name");
+                throw new SettingsException("born lacks " + at + "name");
             }
             long deadline = number(at + "deadline", 60_000_000);
             classes.add(new RequestClass(text(at + "name", ""), effect(text(at + "effect", "once")),
@@ -68,7 +69,7 @@
         return classes;
     }
 
-    private List<Tenant> tenants() throws WireException {
+    private List<Tenant> tenants() throws SettingsException {
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < number("accounts.count", 0); i++) {
             String at = "accounts." + i + ".";
@@ -78,21 +79,21 @@
         return tenants;
     }
 
-    private Effect effect(String word) throws WireException {
+    private Effect effect(String word) throws SettingsException {
         return switch (word) {
             case "repeatable" -> Effect.REPEATABLE;
             case "once" -> Effect.ONCE;
             case "by_key" -> Effect.KEYED;
-            default -> throw line.error("unknown effect '" + word + "'");
+            default -> throw new SettingsException("unknown effect '" + word + "'");
         };
     }
 
-    private KeyScope scope(String word) throws WireException {
+    private KeyScope scope(String word) throws SettingsException {
         return switch (word) {
             case "all" -> KeyScope.ALL;
             case "zone" -> KeyScope.ZONE;
             case "cell" -> KeyScope.CELL;
-            default -> throw line.error("unknown key_scope '" + word + "'");
+            default -> throw new SettingsException("unknown key_scope '" + word + "'");
         };
     }
 
@@ -105,7 +106,7 @@
         return value != null && (value.equals("true") || value.equals("1"));
     }
 
-    private long number(String path, long absent) throws WireException {
+    private long number(String path, long absent) throws SettingsException {
         String value = values.get(path);
         if (value == null) {
             return absent;
@@ -113,11 +114,11 @@
         try {
             return Long.parseLong(value);
         } catch (NumberFormatException e) {
-            throw line.error(path + " is not a whole number: '" + value + "'");
+            throw new SettingsException(path + " is not a whole number: '" + value + "'");
         }
     }
 
-    private double decimal(String path, double absent) throws WireException {
+    private double decimal(String path, double absent) throws SettingsException {
         String value = values.get(path);
         if (value == null) {
             return absent;
@@ -125,7 +126,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw line.error(path + " is not a number: '" + value + "'");
+            throw new SettingsException(path + " is not a number: '" + value + "'");
         }
     }
 }
--- a/src/main/java/calicochute/wire/Host.java
+++ b/src/main/java/calicochute/wire/Host.java
@@ -16,6 +16,8 @@
 import calicochute.decision.Balancer.ListKind;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.Settings;
+import calicochute.settings.SettingsException;
+import calicochute.settings.SettingsParser;
 
 /** Hosts many instances on the wire: translates batches to events and actions to replies, and decides nothing. */
 public final class Host {
@@ -118,7 +120,7 @@
 
     private void born() throws WireException {
         String name = line.text("i");
-        Settings settings = SettingsParser.parse(line);
+        Settings settings = settings();
         Map<String, Integer> classes = new HashMap<>();
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
         Map<String, Integer> tenants = new HashMap<>();
@@ -126,6 +128,18 @@
         instances.put(name, new Instance(factory.apply(settings), classes, tenants));
     }
 
+    private Settings settings() throws WireException {
+        Map<String, String> values = new HashMap<>(line.fields() * 2);
+        for (int i = 0; i < line.fields(); i++) {
+            values.put(line.name(i), line.value(i));
+        }
+        try {
+            return SettingsParser.parse(values);
+        } catch (SettingsException e) {
+            throw line.error(e.getMessage());
+        }
+    }
+
     private void directory() throws IOException, WireException {
         long slot = slot();
         long count = line.number("lines");
