Notice clients that close; Retry-After on denials; tests that run the real program

Seen in the new test: a client that closed while owed an answer was never noticed (no cancel in 30 s). Also seen: the node's own guard fired at the same instant as the dispatch's time-out, so the module never heard of the time-out; the guard is 10 ms later.

--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -216,7 +216,9 @@
     }
 
     private void giveUp(Request r) {
-        if (mayRefuse(r)) { actions.refuse(r.id, 0); } else { actions.fail(r.id); }
+        // DANGER: what overwhelms lasts for seconds; a client back sooner is served in place of a first try.
+        long away = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
+        if (mayRefuse(r)) { actions.refuse(r.id, away); } else { actions.fail(r.id); }
         finish(r, null);
     }
 
--- a/src/main/java/calicochute/exchange/Answer.java
+++ b/src/main/java/calicochute/exchange/Answer.java
@@ -12,4 +12,7 @@
 
     /** Failed, with nothing promised of its effect. */
     record Failed(boolean late) implements Answer { }
+
+    /** Never worked on, since another session of the same name is open. */
+    record Repeated() implements Answer { }
 }
--- a/src/main/java/calicochute/frontend/Frontend.java
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -9,11 +9,9 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.function.BooleanSupplier;
+import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.RequestValidateHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -41,14 +39,11 @@
         this.sessions = sessions;
         this.counters = counters;
         this.ready = ready;
-        server = AsyncServerBootstrap.bootstrap()
-            .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
+        Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
+        server = new HttpAsyncServer((session, attachment) -> ClientConnection.on(session, this, onFault),
+            IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
                 .setSoReuseAddress(true).setSoTimeout(Timeout.ofMinutes(2))
-                .setSelectInterval(TimeValue.ofMilliseconds(100)).build())
-            .setHttpProcessor(HttpProcessorBuilder.create().add(new RequestValidateHost()).build())
-            .setExceptionCallback(e -> Log.info("client-connection", String.valueOf(e.getMessage())))
-            .setRequestRouter((request, context) -> () -> new SessionHandler(this))
-            .create();
+                .setSelectInterval(TimeValue.ofMilliseconds(100)).build(), null, onFault, null);
     }
 
     /** Starts to listen and returns the address in use. */
--- a/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/src/main/java/calicochute/frontend/SessionHandler.java
@@ -109,6 +109,8 @@
                     String.format(Locale.ROOT, "%.3f", denied.retryAfter() / 1e6))), new byte[0]);
             } else if (given instanceof Answer.Failed failed) {
                 respond(failed.late() ? 504 : 502, List.of(), new byte[0]);
+            } else {
+                respond(409, List.of(), "X-Txn is still being worked on\n".getBytes(StandardCharsets.US_ASCII));
             }
         } catch (HttpException | IOException | IllegalStateException e) {
             // The client's connection has ended meanwhile; its handler is told by failed().
@@ -125,6 +127,7 @@
             response.addHeader("Connection", "close");
         }
         answer = ByteBuffer.wrap(bytes);
+        sent = bytes.length == 0;
         response.addHeader("Content-Length", Integer.toString(bytes.length));
         channel.sendResponse(response, bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null),
             context);
@@ -146,9 +149,14 @@
         }
     }
 
+    /** True from the hand-over of a session until its answer is written. */
+    boolean owesAnswer() {
+        return exchange != null && !sent;
+    }
+
     @Override
     public void failed(Exception cause) {
-        if (exchange != null && !sent) {
+        if (owesAnswer()) {
             frontend.sessions().clientGone(exchange);
         }
     }
--- a/src/main/java/calicochute/node/Node.java
+++ b/src/main/java/calicochute/node/Node.java
@@ -36,6 +36,8 @@
 public final class Node implements Sessions, DispatchListener, ListListener, Balancer.Actions {
     /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
     private static final long ANSWER_MARGIN = 15_000;
+    /** Later still, and only if the module has not given up by itself, the session is ended for it. */
+    private static final long GUARD_MARGIN = 5_000;
     private static final long PROBE_TIMEOUT = 1_000_000;
     private final Configuration configuration;
     private final Settings settings;
@@ -121,13 +123,14 @@
         if (!clientIds.add(exchange.clientId)) {
             // Guards against a second copy: the first session of this name is still being worked on.
             counters.count(Counter.SESSIONS_BAD_INPUT);
-            answer(exchange, new Answer.Failed(false));
+            exchange.answer(new Answer.Repeated());
             return;
         }
         open.put(exchange.id, exchange);
         unanswered = open.size();
         long left = exchange.deadline - ANSWER_MARGIN - queue.now();
-        deadlines.put(exchange.id, queue.after(Math.max(0, left), () -> overdue(exchange)));
+        deadlines.put(exchange.id, queue.after(Math.max(0, left) + ANSWER_MARGIN - GUARD_MARGIN,
+            () -> overdue(exchange)));
         tell(new Balancer.Arrival(exchange.id, exchange.classIndex, exchange.tenantIndex, null, Math.max(0, left),
             exchange.retry));
     }
--- /dev/null
+++ b/src/test/java/calicochute/process/Program.java
@@ -0,0 +1,122 @@
+package calicochute.process;
+
+import static org.junit.Assert.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+/** The real program as a process of its own, with the configuration of a small site. */
+final class Program {
+    private static final String SETTINGS = """
+        {"accounts":[{"allowance_per_s":100.0,"name":"library","portion":1.0}],"balancers":1,
+        "caps":{"cancel":true,"conn_idle":30000000,"connect_timeout":500000,"max_attempts":3,"max_open":20000,
+        "max_retry_after":3000000,"probes":true,"retry_after":true,"second_copies":false},
+        "classes":[
+        {"deadline":9000000,"effect":"repeatable","key_scope":"all","name":"view","objective":8000000,"points":1.0},
+        {"deadline":9000000,"effect":"once","key_scope":"all","name":"order","objective":8000000,"points":5.0},
+        {"deadline":9000000,"effect":"by_key","key_scope":"all","name":"scan","objective":8000000,"points":3.0,
+        "window":7500000}],
+        "client_habits":{"marks_retry":true},"discovery":"on_request","layer":0,
+        "obligations":{"ask_every":1000000,"drain_grace":3000000,"warm_up":1000,"cold_from":0.5,"fall":3000000,
+        "fall_multiple":3.0},"tick":5000,"zone":"a"}""";
+    final Process process;
+    final int port;
+    private final Path log;
+
+    Program(Peer discovery, Peer... servers) throws Exception {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = probe.getLocalPort();
+        }
+        Path config = Files.createTempFile("calicochute", ".json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\""
+            + discovery.address() + "\",\"seed\":\"2a\",\"known\":" + list(1, "Ready", servers) + ",\"settings\":"
+            + SETTINGS + "}");
+        log = Files.createTempFile("calicochute", ".log");
+        process = start(log, "serve", "--config", config.toString());
+        await("ready", () -> send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200);
+    }
+
+    /** Starts the program with assertions on, as built, and sends what it prints to a file. */
+    static Process start(Path log, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            "calicochute.cli.Main"));
+        command.addAll(List.of(arguments));
+        return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(new File(log.toString())).start();
+    }
+
+    static String list(int generation, String lifecycle, Peer... servers) {
+        StringBuilder entries = new StringBuilder();
+        for (Peer server : servers) {
+            entries.append(entries.isEmpty() ? "" : ",").append("{\"instanceId\":\"s").append(server.address())
+                .append("\",\"hostPort\":\"").append(server.address()).append("\",\"zone\":\"a\",\"cell\":0,")
+                .append("\"lifecycle\":\"").append(lifecycle).append("\",\"weight\":1.0,\"startedAtMs\":0}");
+        }
+        return "{\"generation\":" + generation + ",\"reset\":" + (generation == 1) + ",\"instances\":[" + entries
+            + "]}";
+    }
+
+    static void await(String what, Callable<Boolean> condition) throws Exception {
+        long latest = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (true) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not yet.
+            }
+            assertTrue("waited in vain: " + what, System.nanoTime() < latest);
+            Thread.sleep(10);
+        }
+    }
+
+    /** The head of a session of a class, ready for {@link #send}. */
+    static String session(String id, String lane) {
+        return (lane.equals("view") ? "GET" : "POST") + " /api?q=1 HTTP/1.1\r\nHost: service.internal\r\nX-Txn: " + id
+            + "\r\nX-Lane: " + lane + "\r\nX-Org: library\r\nX-Remaining-Ms: 8000\r\n"
+            + (lane.equals("scan") ? "Idempotency-Key: k1\r\n" : "");
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(30_000);
+        return socket;
+    }
+
+    Http send(String head) throws IOException {
+        return send(head, new byte[0]);
+    }
+
+    Http send(String head, byte[] body) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(Http.message(head, body));
+            return Http.read(socket.getInputStream());
+        }
+    }
+
+    long counter(String name) throws IOException {
+        String text = new String(send("GET /counters HTTP/1.1\r\nHost: a\r\n").body());
+        return Long.parseLong(text.replaceAll("(?s).*\\b" + name + " (\\d+).*", "$1"));
+    }
+
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    /** Ends the program as a planned restart does, and looks at its last words. */
+    void stop() throws Exception {
+        process.destroy();
+        assertTrue("did not end", process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(log(), log().contains("invariants_broken 0") && log().contains("module_faults 0"));
+    }
+}
--- /dev/null
+++ b/src/test/java/calicochute/process/ServeTest.java
@@ -0,0 +1,267 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.list;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertArrayEquals;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** The program as its client, its backend servers and discovery meet it. */
+public class ServeTest {
+    private static final String ID = "9b1f03aa5c7e2d41";
+    private final CountDownLatch release = new CountDownLatch(1);
+    private Peer discovery;
+    private Peer server;
+    private Program program;
+
+    @Before
+    public void start() throws Exception {
+        discovery = new Peer(r -> {
+            release.await();
+            return null;
+        });
+        server = new Peer(r -> Http.answer(200, "", "a map"));
+        program = new Program(discovery, server);
+    }
+
+    @After
+    public void stop() throws Exception {
+        release.countDown();
+        program.stop();
+        server.close();
+        discovery.close();
+    }
+
+    private Http send(String lane) throws Exception {
+        return program.send(session(ID, lane), lane.equals("view") ? new byte[0] : new byte[] {1, 2, 3});
+    }
+
+    @Test
+    public void whatPassesIsUnchanged() throws Exception {
+        byte[] body = new byte[1 << 16];
+        new Random(7).nextBytes(body);
+        server.script = r -> Http.message("HTTP/1.1 200 OK\r\n", r.body());
+        Http answer = program.send(session(ID, "scan"), body);
+        Http seen = server.requests.get(0);
+        assertEquals("POST /api?q=1 HTTP/1.1", seen.firstLine());
+        assertEquals(ID, seen.header("X-Txn"));
+        assertEquals("k1", seen.header("Idempotency-Key"));
+        assertTrue(Integer.parseInt(seen.header("X-Remaining-Ms")) <= 8000);
+        assertArrayEquals(body, seen.body());
+        assertEquals(200, answer.status());
+        assertArrayEquals(body, answer.body());
+    }
+
+    @Test
+    public void aDenySaysWhenToComeBack() throws Exception {
+        Http answer = program.send(session(ID, "view").replace(": 8000", ": 0"));
+        assertEquals(503, answer.status());
+        assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+        assertEquals(0, server.requests.size());
+    }
+
+    /** A server that turned the session away has not run it: it may be sent again, and be denied in the end. */
+    @Test
+    public void turnedAwayIsTriedAgain() throws Exception {
+        server.script = r -> Http.answer(503, "X-Turned-Away: 1\r\n", "");
+        assertEquals(503, send("order").status());
+        assertTrue(program.counter("dispatches_full") >= 1);
+        server.script = r -> server.requests.size() % 2 == 0 ? Http.answer(200, "", "ok")
+            : Http.answer(504, "X-Turned-Away: 1\r\n", "");
+        assertEquals(200, send("order").status());
+    }
+
+    /** After a dispatch that may have run, a session that must not run twice fails: no deny, no second copy. */
+    @Test
+    public void whatMayHaveRunIsNotRepeated() throws Exception {
+        server.script = r -> Http.answer(500, "", "broken");
+        assertEquals(502, send("order").status());
+        server.script = r -> Http.answer(503, "", "its own words");
+        assertEquals(502, send("order").status());
+        assertEquals(2, program.counter("dispatches_error"));
+        server.script = r -> null;
+        assertEquals(502, send("order").status());
+        assertEquals(1, program.counter("dispatches_reset"));
+        assertEquals(3, server.requests.size());
+    }
+
+    @Test
+    public void silenceTimesOutBeforeTheDeadline() throws Exception {
+        server.script = r -> {
+            release.await();
+            return null;
+        };
+        Http answer = program.send(session(ID, "order").replace(": 8000", ": 900"), new byte[1]);
+        assertEquals(504, answer.status());
+        assertEquals(1, program.counter("dispatches_timed_out"));
+        assertEquals(1, server.requests.size());
+        await("the silent server's connection ends", () -> server.ended.size() + server.connections.size() >= 1);
+    }
+
+    /** A server that is not there has run nothing: the client hears that trying again is harmless. */
+    @Test
+    public void noConnectionIsADeny() throws Exception {
+        server.close();
+        assertEquals(503, send("order").status());
+        assertTrue(program.counter("dispatches_connect_failed") >= 1);
+    }
+
+    /** The server closed an idle connection: nothing was written to it, so another one is used. */
+    @Test
+    public void aConnectionClosedWhileIdleCostsNothing() throws Exception {
+        assertEquals(200, send("order").status());
+        for (Socket socket : server.connections) {
+            socket.close();
+        }
+        assertEquals(200, send("order").status());
+        assertEquals(2, server.connections.size());
+    }
+
+    @Test
+    public void connectionsAreKept() throws Exception {
+        try (Socket socket = program.connect()) {
+            for (int i = 0; i < 3; i++) {
+                socket.getOutputStream().write(Http.message(session(ID, "view"), new byte[0]));
+                assertEquals(200, Http.read(socket.getInputStream()).status());
+            }
+        }
+        assertEquals(1, server.connections.size());
+    }
+
+    /** While a session is open, another of the same name would be a second copy of it. */
+    @Test
+    public void aNameInUseIsNotForwardedTwice() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "late");
+        };
+        CompletableFuture<Http> first = CompletableFuture.supplyAsync(() -> {
+            try {
+                return send("order");
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        await("the first arrives", () -> server.requests.size() == 1);
+        assertEquals(409, send("order").status());
+        release.countDown();
+        assertEquals(200, first.get(30, TimeUnit.SECONDS).status());
+        assertEquals(1, server.requests.size());
+    }
+
+    /** The client closes: its dispatch is called off by closing the connection to the server. */
+    @Test
+    public void aClientThatGoesCancels() throws Exception {
+        server.script = r -> {
+            release.await();
+            return null;
+        };
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write(Http.message(session(ID, "view"), new byte[0]));
+            await("dispatched", () -> server.requests.size() == 1);
+        }
+        await("cancelled", () -> program.counter("dispatches_cancelled") == 1);
+        assertEquals(1, program.counter("sessions_client_gone"));
+    }
+
+    @Test
+    public void aDrainingServerGetsNothingNew() throws Exception {
+        assertEquals(200, send("view").status());
+        discovery.script = r -> {
+            if (r.firstLine().contains("since=2")) {
+                release.await();
+            }
+            return Http.answer(200, "", list(2, "Terminating", server));
+        };
+        for (Socket socket : discovery.connections) {
+            socket.close();
+        }
+        await("told", () -> program.log().contains("generation=2"));
+        assertEquals(503, program.send(session(ID, "view").replace(": 8000", ": 500")).status());
+        assertEquals(1, server.requests.size());
+        assertNotNull(discovery.requests.get(0).firstLine().contains("since=1") ? ID : null);
+    }
+
+    /** Discovery that talks nonsense is asked again; the list stays as it was. */
+    @Test
+    public void malformedListsAreCountedOnly() throws Exception {
+        discovery.script = r -> Http.answer(200, "", "{\"generation\":\"x\",\"instances\":[{}]}");
+        for (Socket socket : discovery.connections) {
+            socket.close();
+        }
+        await("counted", () -> program.counter("discovery_malformed") >= 1);
+        assertEquals(200, send("view").status());
+    }
+
+    @Test
+    public void badInputIsRefusedAndNotForwarded() throws Exception {
+        String view = session(ID, "view");
+        String scan = session(ID, "scan");
+        assertEquals(400, program.send(view.replace(ID, "9b1f")).status());
+        assertEquals(400, program.send(view.replace("X-Txn", "X-Other")).status());
+        assertEquals(400, program.send(view + "X-Txn: " + ID + "\r\n").status());
+        assertEquals(400, program.send(view.replace("Lane: view", "Lane: none")).status());
+        assertEquals(400, program.send(view.replace("library", "nobody")).status());
+        assertEquals(400, program.send(view.replace(": 8000", ": soon")).status());
+        assertEquals(400, program.send(view.replace(": 8000", ": -1")).status());
+        assertEquals(400, program.send(scan.replace("Idempotency-Key: k1\r\n", "")).status());
+        assertEquals(405, program.send(view.replace("GET", "POST")).status());
+        assertEquals(413, program.send(scan, new byte[(1 << 16) + 1]).status());
+        assertEquals(400, program.send("no request at all\r\n").status());
+        assertEquals(0, server.requests.size());
+        assertEquals(200, send("view").status());
+    }
+
+    /** On SIGTERM what is taken is answered, with the connection's end announced, and the status is 0. */
+    @Test
+    public void aPlannedStopAnswersEverything() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "late");
+        };
+        try (Socket taken = program.connect(); Socket later = program.connect()) {
+            taken.getOutputStream().write(Http.message(session(ID, "order"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            program.process.destroy();
+            await("draining", () -> program.log().contains("draining"));
+            later.getOutputStream().write(Http.message(session("0" + ID.substring(1), "order"), new byte[1]));
+            await("accepted while draining", () -> server.requests.size() == 2);
+            release.countDown();
+            Http answer = Http.read(taken.getInputStream());
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertEquals(200, Http.read(later.getInputStream()).status());
+            assertNull(Http.read(taken.getInputStream()));
+        }
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(0, program.process.exitValue());
+    }
+
+    @Test
+    public void aBadConfigurationEndsTheStart() throws Exception {
+        Path config = Files.createTempFile("calicochute", ".json");
+        for (String text : new String[] {"", "{}", "[1]", "{\"settings\":{},\"seed\":\"q\"}"}) {
+            Files.writeString(config, text);
+            Path log = Files.createTempFile("calicochute", ".log");
+            Process process = Program.start(log, "serve", "--config", config.toString());
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+            assertEquals(1, process.exitValue());
+            assertTrue(Files.readString(log), Files.readString(log).startsWith("calicochute: "));
+            assertEquals(1, Files.readString(log).lines().count());
+        }
+    }
+}
