--- a/src/main/java/calicochute/cli/Main.java
+++ b/src/main/java/calicochute/cli/Main.java
@@ -20,6 +20,7 @@
         commands.put("serve", new ServeCommand());
         commands.put("wirehost", new WireHostCommand());
         commands.put("check", new CheckCommand());
+        commands.put("rehearse", new RehearseCommand());
         commands.put("version", new VersionCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("calicochute");
         commands.forEach(builder::addCommand);
