--- a/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/src/main/java/calicochute/frontend/ClientConnection.java
@@ -20,6 +20,8 @@
 final class ClientConnection extends ServerHttp1IOEventHandler {
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().add(new RequestValidateHost()).build();
     private final AtomicReference<SessionHandler> latest;
+    private final Frontend frontend;
+    private boolean ended;
 
     private ClientConnection(ProtocolIOSession session, AtomicReference<SessionHandler> latest, Frontend frontend,
                              Callback<Exception> onFault) {
@@ -29,6 +31,8 @@
             return new BasicAsyncServerExpectationDecorator(handler, onFault);
         }, Http1Config.DEFAULT, CharCodingConfig.DEFAULT, null, onFault).create("http", session));
         this.latest = latest;
+        this.frontend = frontend;
+        frontend.connection(true);
     }
 
     static ClientConnection on(ProtocolIOSession session, Frontend frontend, Callback<Exception> onFault) {
@@ -47,4 +51,13 @@
             session.close(CloseMode.IMMEDIATE);
         }
     }
+
+    @Override
+    public void disconnected(IOSession session) {
+        if (!ended) {
+            ended = true;
+            frontend.connection(false);
+        }
+        super.disconnected(session);
+    }
 }
--- a/src/main/java/calicochute/frontend/Frontend.java
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.URIScheme;
@@ -30,6 +31,8 @@
     private final BooleanSupplier ready;
     private final HttpAsyncServer server;
     private ListenerEndpoint listener;
+    private final int connectionsKept;
+    private final AtomicInteger connections = new AtomicInteger();
     private volatile boolean closing;
 
     public Frontend(Configuration configuration, DecisionQueue clock, Sessions sessions, Counters counters,
@@ -39,6 +42,7 @@
         this.sessions = sessions;
         this.counters = counters;
         this.ready = ready;
+        connectionsKept = configuration.sockets() / 2;
         Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
         server = new HttpAsyncServer((session, attachment) -> ClientConnection.on(session, this, onFault),
             IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
@@ -62,8 +66,10 @@
         closing = true;
     }
 
+    /** Takes no more connections and closes the idle ones; what is being answered goes on to its end. */
     public void stopListening() {
         Closer.closeQuietly(listener);
+        server.initiateShutdown();
     }
 
     @Override
@@ -96,7 +102,13 @@
         return counters;
     }
 
+    /** Counts a client's connection in or out. */
+    void connection(boolean opened) {
+        connections.addAndGet(opened ? 1 : -1);
+    }
+
+    /** Whether an answer is to be its connection's last: at the end, and lest idle clients use up the descriptors. */
     boolean closing() {
-        return closing;
+        return closing || connections.get() > connectionsKept;
     }
 }
--- a/src/test/java/calicochute/process/ServeTest.java
+++ b/src/test/java/calicochute/process/ServeTest.java
@@ -233,13 +233,17 @@
             release.await();
             return Http.answer(200, "", "late");
         };
-        try (Socket taken = program.connect(); Socket later = program.connect()) {
+        try (Socket taken = program.connect(); Socket later = program.connect(); Socket idle = program.connect()) {
+            idle.getOutputStream().write(Http.message("GET /ready HTTP/1.1\r\nHost: a\r\n", new byte[0]));
+            assertEquals(200, Http.read(idle.getInputStream()).status());
             taken.getOutputStream().write(Http.message(session(ID, "order"), new byte[1]));
             await("dispatched", () -> server.requests.size() == 1);
             program.process.destroy();
             await("draining", () -> program.log().contains("draining"));
             later.getOutputStream().write(Http.message(session("0" + ID.substring(1), "order"), new byte[1]));
             await("accepted while draining", () -> server.requests.size() == 2);
+            // What is idle is closed while the others are still owed their answers.
+            assertNull(Http.read(idle.getInputStream()));
             release.countDown();
             Http answer = Http.read(taken.getInputStream());
             assertEquals(200, answer.status());
