--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -63,13 +63,11 @@
     final Map<String, Server> servers = new HashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     /** All that are listed, in this instance's order; the subset in use; the walk and where it stands. */
-    private Server[] ranked = new Server[0];
-    private Server[] use = new Server[0];
-    private Server[] walk = new Server[0];
+    private Server[] ranked = new Server[0], use = ranked, walk = ranked;
     private int walkAt;
     private final Seen[] seen;
     private double typical = 1;
-    private boolean pollNext = true;
+    private boolean pollNext = true, subscribed;
     private double retryTokens = RETRY_MAX / 2;
     /** Admission: requests open and how many may be; smoothed share of the slack that queueing takes. */
     private int open;
@@ -78,9 +76,7 @@
     private long now, unconnectedAt = Long.MIN_VALUE / 2, reviewedAt, limitCutAt, tenantTokensAt;
     /** Answers a second: of a warm backend in use on average, and of all together. */
     private double warmRate, answerRate;
-    private int warmAnswers, allAnswers;
-    private int failedCalls;
-    private boolean subscribed;
+    private int warmAnswers, allAnswers, failedCalls;
     private Actions actions;
 
     Choice(Settings settings) {
@@ -99,18 +95,16 @@
     public void on(long nowMicros, Event event, Actions to) {
         now = nowMicros;
         actions = to;
-        if (event instanceof Arrival e) {
-            arrive(e);
-        } else if (event instanceof AttemptEnded e) {
-            attemptEnded(e);
-        } else if (event instanceof Timer e) {
-            timer(e);
-        } else if (event instanceof BackendList e) {
-            list(e);
-        } else if (event instanceof ClientGone e) {
-            Request r = requests.get(e.request());
-            if (r != null) { finish(r, null); }
-        } else if (event instanceof StreamStarted e) { streamStarted(e); }
+        if (event instanceof Arrival e) { arrive(e); }
+        if (event instanceof AttemptEnded e) { attemptEnded(e); }
+        if (event instanceof Timer e) { timer(e); }
+        if (event instanceof BackendList e) { list(e); }
+        if (event instanceof ClientGone e) { clientGone(requests.get(e.request())); }
+        if (event instanceof StreamStarted e) { streamStarted(e); }
+    }
+
+    private void clientGone(Request r) {
+        if (r != null) { finish(r, null); }
     }
 
     private void timer(Timer e) {
@@ -144,10 +138,7 @@
         if (settings.tier() == 0 && !admit(e, waited)) { giveUp(r); } else { dispatch(r); }
     }
 
-    /**
-     * How long the client waited before this try; 0 if that can't be told. First tries of a class share one
-     * patience, found by majority vote; any other is what remained of the deadline.
-     */
+    /** How long the client waited before this try, 0 if untold: first tries share a patience, by majority vote. */
     private long waited(Arrival e, RequestClass c) {
         Seen cls = seen[e.classIndex()];
         boolean usual = Math.abs(e.timeLeft() - cls.patience) < c.deadline() / 50;
@@ -160,14 +151,11 @@
     /** Sends the request somewhere, or holds it, or ends it. */
     private void dispatch(Request r) {
         long left = r.deadline - now;
-        if (left <= 0 || r.sent >= settings.limits().maxAttempts()) {
-            giveUp(r);
-            return;
-        }
-        Server s = pick(r);
+        boolean over = left <= 0 || r.sent >= settings.limits().maxAttempts();
+        Server s = over ? null : pick(r);
         if (s != null) {
             send(r, s);
-        } else if (r.sent > 0 && r.firstThatMayHaveRun() != null) {
+        } else if (over || r.firstThatMayHaveRun() != null) {
             giveUp(r);
         } else {
             // DANGER: a held request has no attempt whose time-out would wake it; only a timer does.
@@ -304,8 +292,7 @@
         if (poll != null) { return poll; }
         // DANGER: one zone refuses while the next one idles: home comes first only far from the limit.
         boolean home = settings.goal().crossZonePrice() > 0 && open <= limit * (1 - WORTH_SPREAD);
-        double best = 0;
-        double sum = 0;
+        double best = 0, sum = 0;
         int known = 0;
         for (Server s : from) {
             s.score = 0;
@@ -426,8 +413,7 @@
         double seconds = Math.max(now - reviewedAt, 1) / 1e6;
         double weight = reviewedAt == 0 ? 0 : 1 - Math.exp(-seconds / 3);
         reviewedAt = now;
-        int warm = 0;
-        int sick = 0;
+        int warm = 0, sick = 0;
         for (Server s : use) {
             // DANGER: connections left idle by one caller fill a small table and shut the others out.
             if (s.peak > s.out + 1 && now < unconnectedAt + FORGET) {
@@ -564,8 +550,7 @@
         int bin = e.classIndex() * 3 + (e.retry() && waited == 0 ? 2 : overShare(e.tenantIndex()) ? 1 : 0);
         // Retries have no say in the ranks: there are the more of them the more is refused.
         arrivals[bin] += bin % 3 < 2 ? 1 : 0;
-        double above = 0;
-        double all = 0;
+        double above = 0, all = 0;
         for (int i = 0; i < arrivals.length; i++) {
             all += arrivals[i];
             above += worth(i) > worth(bin) ? arrivals[i] : 0;
--- a/src/main/java/calicochute/decision/Track.java
+++ b/src/main/java/calicochute/decision/Track.java
@@ -5,23 +5,20 @@
 
 /** What Choice keeps of backends, requests and attempts: data and the links between them, no decisions. */
 final class Track {
-    private Track() {
-    }
+    private Track() { }
 
     static final class Server {
         final String id;
         /** Place in the order from which an instance takes its subset. */
         final long rank;
         Backend entry;
-        boolean listed;
-        boolean inUse;
+        boolean listed, inUse;
         /** A first call has been sent since its present start. */
         boolean polled;
         double speed = 1;
         long sampledAt;
         /** Attempts out, oldest first. */
-        Attempt oldest;
-        Attempt newest;
+        Attempt oldest, newest;
         int out;
         /** Most attempts out at once since its idle connections were last closed. */
         int peak;
@@ -63,10 +60,8 @@
         final Server server;
         final int number;
         final long sentAt;
-        boolean out = true;
-        boolean mayHaveRun = true;
-        private Attempt older;
-        private Attempt newer;
+        boolean out = true, mayHaveRun = true;
+        private Attempt older, newer;
 
         private Attempt(Request request, Server server, int number, long sentAt) {
             this.request = request;
@@ -80,27 +75,17 @@
             mayHaveRun = !provesNotRun;
             request.out--;
             server.out--;
-            if (older == null) {
-                server.oldest = newer;
-            } else {
-                older.newer = newer;
-            }
-            if (newer == null) {
-                server.newest = older;
-            } else {
-                newer.older = older;
-            }
+            if (older == null) { server.oldest = newer; } else { older.newer = newer; }
+            if (newer == null) { server.newest = older; } else { newer.older = older; }
         }
     }
 
     static final class Request {
         final long id;
         final int cls;
-        final long arrivedAt;
-        final long deadline;
+        final long arrivedAt, deadline;
         Attempt[] attempts = new Attempt[2];
-        int sent;
-        int out;
+        int sent, out;
         boolean ended;
 
         Request(long id, int cls, long arrivedAt, long deadline) {
@@ -111,18 +96,12 @@
         }
 
         Attempt send(Server server, long now) {
-            if (sent == attempts.length) {
-                attempts = Arrays.copyOf(attempts, sent * 2);
-            }
+            if (sent == attempts.length) { attempts = Arrays.copyOf(attempts, sent * 2); }
             Attempt a = new Attempt(this, server, sent, now);
             attempts[sent++] = a;
             out++;
             a.older = server.newest;
-            if (a.older == null) {
-                server.oldest = a;
-            } else {
-                a.older.newer = a;
-            }
+            if (a.older == null) { server.oldest = a; } else { a.older.newer = a; }
             server.newest = a;
             server.out++;
             server.peak = Math.max(server.peak, server.out);
@@ -132,9 +111,7 @@
 
         boolean tried(Server server) {
             for (int i = 0; i < sent; i++) {
-                if (attempts[i].server == server) {
-                    return true;
-                }
+                if (attempts[i].server == server) { return true; }
             }
             return false;
         }
@@ -142,9 +119,7 @@
         /** The first attempt that is out or may have taken effect; null if there is none. */
         Attempt firstThatMayHaveRun() {
             for (int i = 0; i < sent; i++) {
-                if (attempts[i].mayHaveRun) {
-                    return attempts[i];
-                }
+                if (attempts[i].mayHaveRun) { return attempts[i]; }
             }
             return null;
         }
