--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -138,7 +138,7 @@
         if (settings.tier() == 0 && !admit(e, waited)) { giveUp(r); } else { dispatch(r); }
     }
 
-    /** How long the client waited before this try, 0 if untold: first tries share a patience, by majority vote. */
+    /** How long the client waited before this try, 0 if untold; first tries share a patience, by majority. */
     private long waited(Arrival e, RequestClass c) {
         Seen cls = seen[e.classIndex()];
         boolean usual = Math.abs(e.timeLeft() - cls.patience) < c.deadline() / 50;
