A start that fails at its address ends with status 1, not as a planned stop

Read in ServeCommand: the stop hook was set before the start, so an address in use ended in a drain and status 0. The hook is set after the start now; a test starts the program twice at one address.

--- a/src/main/java/calicochute/cli/ServeCommand.java
+++ b/src/main/java/calicochute/cli/ServeCommand.java
@@ -20,8 +20,9 @@
         Configuration told = configuration.read();
         Counters counters = new Counters();
         Node node = new Node(told, counters);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
+        // Only now: a start that fails must end with its own status, not with that of a planned stop.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
     }
 
     /** On SIGTERM: everything taken is answered, the counters are printed, and the exit status is 0. */
--- a/src/test/java/calicochute/process/Program.java
+++ b/src/test/java/calicochute/process/Program.java
@@ -30,13 +30,14 @@
         "fall_multiple":3.0},"tick":5000,"zone":"a"}""";
     final Process process;
     final int port;
+    final Path config;
     private final Path log;
 
     Program(Peer discovery, Peer... servers) throws Exception {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = probe.getLocalPort();
         }
-        Path config = Files.createTempFile("calicochute", ".json");
+        config = Files.createTempFile("calicochute", ".json");
         Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\""
             + discovery.address() + "\",\"seed\":\"2a\",\"known\":" + list(1, "Ready", servers) + ",\"settings\":"
             + SETTINGS + "}");
--- a/src/test/java/calicochute/process/ServeTest.java
+++ b/src/test/java/calicochute/process/ServeTest.java
@@ -268,4 +268,15 @@
             assertEquals(1, Files.readString(log).lines().count());
         }
     }
+
+    /** A start that fails is no planned stop: it has a message and a status of its own. */
+    @Test
+    public void anAddressInUseEndsTheStart() throws Exception {
+        Path log = Files.createTempFile("calicochute", ".log");
+        Process second = Program.start(log, "serve", "--config", program.config.toString());
+        assertTrue(second.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(Files.readString(log), 1, second.exitValue());
+        assertTrue(Files.readString(log).contains("cannot listen at"));
+        assertEquals(200, send("view").status());
+    }
 }
