SIGHUP moves discovery's watch to the address in the file instead of ending the program

Cause: nothing handles SIGHUP, so the virtual machine takes it for an order to end and runs the shutdown hook (ServeCommand.run). Ruled out: a crash or a planned stop, the log has neither a fault nor SIGTERM before it.

Now the file is read again, discovery's address is taken over and the watch goes on there at once from the version held; an unreadable file is logged, counted and changes nothing. The handler is set before the balancer listens.

--- a/src/main/java/calicochute/cli/ServeCommand.java
+++ b/src/main/java/calicochute/cli/ServeCommand.java
@@ -1,5 +1,6 @@
 package calicochute.cli;
 
+import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
 import calicochute.node.Node;
@@ -20,11 +21,23 @@
         Configuration told = configuration.read();
         Counters counters = new Counters();
         Node node = new Node(told, counters);
+        // Before the start: without a handler SIGHUP ends a Java program, and /ready may say 200 as soon as it listens.
+        Hangup.handle(() -> reload(node, counters));
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
         // Only now: a start that fails must end with its own status, not with that of a planned stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
     }
 
+    /** On SIGHUP: the file is read anew; one that can't be used changes nothing. */
+    private void reload(Node node, Counters counters) {
+        try {
+            node.reload(configuration.read());
+        } catch (SettingsException e) {
+            counters.count(Counter.RELOADS_FAILED);
+            Log.warn("reload-failed", e.getMessage());
+        }
+    }
+
     /** On SIGTERM: everything taken is answered, the counters are printed, and the exit status is 0. */
     private static void stop(Node node, Counters counters) {
         try {
--- a/src/main/java/calicochute/discovery/Discovery.java
+++ b/src/main/java/calicochute/discovery/Discovery.java
@@ -24,7 +24,7 @@
     private final Connector connector;
     private final DecisionQueue queue;
     private final Counters counters;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final ListListener listener;
     private Query watch;
     private long generation;
@@ -63,6 +63,18 @@
         }
     }
 
+    /**
+     * Asks at another address from now on. The watch goes on there at once, from the version held: it is the same
+     * service, and what it has to tell counts as told soon after the move.
+     */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            failedAt = 0;
+            subscribe(true);
+        }
+    }
+
     /** Asks for the whole list once. */
     public void fetch() {
         new Query(this::fetched).ask(PATH, PATIENCE);
--- a/src/main/java/calicochute/node/Node.java
+++ b/src/main/java/calicochute/node/Node.java
@@ -74,6 +74,15 @@
         return frontend.start(configuration.listen());
     }
 
+    /** Takes over what may change under load: discovery's address. All else stays as it was at the start. */
+    public void reload(Configuration changed) {
+        queue.post(() -> {
+            counters.count(Counter.RELOADS);
+            Log.info("reloaded", "discovery=" + changed.discovery());
+            discovery.move(changed.discovery());
+        });
+    }
+
     // ---- The list of servers
 
     private void restore(ServerList known) {
--- a/src/test/java/calicochute/process/Program.java
+++ b/src/test/java/calicochute/process/Program.java
@@ -1,5 +1,6 @@
 package calicochute.process;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import java.io.File;
@@ -7,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -114,6 +116,20 @@
         return Files.readString(log);
     }
 
+    /** Waits until the other side ends a connection without another byte on it. */
+    static boolean ended(Socket socket) throws IOException {
+        socket.setSoTimeout(30_000);
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
+    void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
     /** Ends the program as a planned restart does, and looks at its last words. */
     void stop() throws Exception {
         process.destroy();
--- a/src/test/java/calicochute/process/ServeTest.java
+++ b/src/test/java/calicochute/process/ServeTest.java
@@ -255,6 +255,33 @@
         assertEquals(0, program.process.exitValue());
     }
 
+    /** SIGHUP moves the watch to discovery's new address and disturbs nothing else; a bad file changes nothing. */
+    @Test
+    public void aHangupMovesDiscoveryOnly() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "across the reload");
+        };
+        try (Peer moved = new Peer(discovery.script); Socket taken = program.connect()) {
+            taken.getOutputStream().write(Http.message(session(ID, "order"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            await("watching", () -> discovery.requests.size() == 1);
+            String good = Files.readString(program.config);
+            Files.writeString(program.config, good.substring(0, good.length() / 2));
+            program.signal("HUP");
+            await("refused", () -> program.counter("reloads_failed") == 1);
+            assertEquals(0, discovery.ended.size());
+            Files.writeString(program.config, good.replace(discovery.address(), moved.address()));
+            program.signal("HUP");
+            await("asked at the new address", () -> moved.requests.size() == 1);
+            assertTrue(moved.requests.get(0).firstLine().contains("since=1"));
+            assertTrue("left the old address", Program.ended(discovery.connections.get(0)));
+            release.countDown();
+            assertEquals(200, Http.read(taken.getInputStream()).status());
+            assertEquals(1, program.counter("reloads"));
+        }
+    }
+
     @Test
     public void aBadConfigurationEndsTheStart() throws Exception {
         Path config = Files.createTempFile("calicochute", ".json");
