Refuse requests with two lengths, unreadable heads, slow clients and too many connections

Ruled out: the backend's side, each hidden request had first been read as a request of its own by the frontend.

--- a/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/src/main/java/calicochute/frontend/ClientConnection.java
@@ -1,8 +1,9 @@
 package calicochute.frontend;
 
+import calicochute.metrics.Counter;
+import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -13,30 +14,88 @@
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestValidateHost;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.Timeout;
 
-/** One client's connection: HttpCore's own, which besides notices a client that closes while it is owed an answer. */
+/**
+ * One client's connection: HttpCore's own, with what it does not guard. It notices a client that closes while it is
+ * owed an answer, bounds the time a request may take to arrive, and reads nothing ahead of an answer. All on the
+ * frontend's I/O thread.
+ */
 final class ClientConnection extends ServerHttp1IOEventHandler {
+    static final Http1Config LIMITS = Http1Config.custom().setBufferSize(Bounds.BUFFER)
+        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS).build();
+    /** From a connection's start, or a later request's first byte, to the request's last byte. */
+    private static final long REQUEST_MS = 2000;
+    /** A connection with no request open is kept this long. */
+    private static final long IDLE_MS = 10_000;
+    /** What has had its last answer is ended this much later, if the client has not done so. */
+    private static final long LINGER_MS = 250;
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().add(new RequestValidateHost()).build();
-    private final AtomicReference<SessionHandler> latest;
-    private final Frontend frontend;
+
+    /** What handlers and the guard of one connection share with it; they are made before it is. */
+    static final class State {
+        final Frontend frontend;
+        final ProtocolIOSession session;
+        volatile SessionHandler latest;
+        /** A request is due or under way; false from its end until the next one's first byte. */
+        volatile boolean receiving = true;
+        /** Nothing more is read: something here was refused, or came before the answer to an earlier request. */
+        volatile boolean last;
+        long since = System.nanoTime();
+
+        State(Frontend frontend, ProtocolIOSession session) {
+            this.frontend = frontend;
+            this.session = session;
+        }
+
+        /** True while a session of this connection is worked on and its answer has not been begun. */
+        boolean owesAnswer() {
+            SessionHandler handler = latest;
+            return handler != null && handler.owesAnswer();
+        }
+
+        long ageMs() {
+            return (System.nanoTime() - since) / 1_000_000;
+        }
+
+        /** Ends the connection after the answer that is due; what the client still sends is left unread. */
+        void refuse() {
+            last = true;
+            session.setSocketTimeout(Timeout.ofMilliseconds(LINGER_MS));
+        }
+
+        /** A request has come whole: from here on the balancer, not the client, is awaited. */
+        void received() {
+            receiving = false;
+            session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
+        }
+    }
+
+    private final State state;
     private boolean ended;
 
-    private ClientConnection(ProtocolIOSession session, AtomicReference<SessionHandler> latest, Frontend frontend,
-                             Callback<Exception> onFault) {
+    private ClientConnection(State state, Callback<Exception> onFault) {
         super(new ServerHttp1StreamDuplexerFactory(PROCESSOR, (request, context) -> {
-            SessionHandler handler = new SessionHandler(frontend);
-            latest.set(handler);
+            SessionHandler handler = new SessionHandler(state);
+            state.latest = handler;
             return new BasicAsyncServerExpectationDecorator(handler, onFault);
-        }, Http1Config.DEFAULT, CharCodingConfig.DEFAULT, null, onFault).create("http", session));
-        this.latest = latest;
-        this.frontend = frontend;
-        frontend.connection(true);
+        }, LIMITS, CharCodingConfig.DEFAULT, null, () -> new RequestGuard(state), null, null, onFault)
+            .create("http", state.session));
+        this.state = state;
+        state.session.setSocketTimeout(Timeout.ofMilliseconds(REQUEST_MS));
     }
 
     static ClientConnection on(ProtocolIOSession session, Frontend frontend, Callback<Exception> onFault) {
-        return new ClientConnection(session, new AtomicReference<>(), frontend, onFault);
+        return new ClientConnection(new State(frontend, session), onFault);
+    }
+
+    @Override
+    public void connected(IOSession session) throws IOException {
+        super.connected(session);
+        state.frontend.opened(this);
     }
 
     /**
@@ -45,18 +104,56 @@
      */
     @Override
     public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+        if (state.last) {
+            session.clearEvent(EventMask.READ);
+            return;
+        }
+        if (!state.receiving && !state.owesAnswer()) {
+            state.receiving = true;
+            state.since = System.nanoTime();
+        }
         super.inputReady(session, source);
-        SessionHandler handler = latest.get();
-        if (!isOpen() && handler != null && handler.owesAnswer()) {
+        if (state.receiving) {
+            // Guards against a client that sends a byte now and then: HttpCore's own time-out starts anew with each.
+            long left = REQUEST_MS - state.ageMs();
+            if (left <= 0) {
+                close(Counter.CLIENTS_CLOSED_SLOW);
+            } else {
+                session.setSocketTimeout(Timeout.ofMilliseconds(left));
+            }
+        }
+        if (!isOpen() && state.owesAnswer()) {
             session.close(CloseMode.IMMEDIATE);
         }
     }
 
+    @Override
+    public void timeout(IOSession session, Timeout timeout) throws IOException {
+        if (!state.owesAnswer()) {
+            close(state.receiving ? Counter.CLIENTS_CLOSED_SLOW : Counter.CLIENTS_CLOSED_IDLE);
+        }
+    }
+
+    /** No request has come whole since it was opened, and for how long; negative otherwise. */
+    long silentMs() {
+        return state.receiving && state.latest == null ? state.ageMs() : -1;
+    }
+
+    /** How long nothing was asked or owed on it; negative while something is. */
+    long idleMs() {
+        return state.receiving || state.owesAnswer() ? -1 : System.currentTimeMillis() - state.session.getLastEventTime();
+    }
+
+    void close(Counter why) {
+        state.frontend.counters().count(why);
+        state.session.close(CloseMode.GRACEFUL);
+    }
+
     @Override
     public void disconnected(IOSession session) {
         if (!ended) {
             ended = true;
-            frontend.connection(false);
+            state.frontend.closed(this);
         }
         super.disconnected(session);
     }
--- a/src/main/java/calicochute/frontend/Frontend.java
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -2,13 +2,15 @@
 
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Sessions;
+import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
 import calicochute.settings.Configuration;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.URIScheme;
@@ -18,12 +20,14 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
-import org.apache.hc.core5.util.Timeout;
 
 /** The clients' side: an HTTP server whose requests become exchanges. One I/O thread carries all connections. */
 public final class Frontend implements AutoCloseable {
     private static final String READY = "/ready";
     private static final String COUNTERS = "/counters";
+    /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
+    private static final long SILENT_MS = 250;
+    private static final long IDLE_MS = 2000;
     private final SessionReader reader;
     private final DecisionQueue clock;
     private final Sessions sessions;
@@ -31,8 +35,10 @@
     private final BooleanSupplier ready;
     private final HttpAsyncServer server;
     private ListenerEndpoint listener;
-    private final int connectionsKept;
-    private final AtomicInteger connections = new AtomicInteger();
+    private final int room;
+    /** Clients' connections, the oldest first; the I/O thread's own. */
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private volatile int connected;
     private volatile boolean closing;
 
     public Frontend(Configuration configuration, DecisionQueue clock, Sessions sessions, Counters counters,
@@ -42,12 +48,11 @@
         this.sessions = sessions;
         this.counters = counters;
         this.ready = ready;
-        connectionsKept = configuration.sockets() / 2;
+        room = configuration.bounds().clientConnections();
         Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
         server = new HttpAsyncServer((session, attachment) -> ClientConnection.on(session, this, onFault),
             IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
-                .setSoReuseAddress(true).setSoTimeout(Timeout.ofMinutes(2))
-                .setSelectInterval(TimeValue.ofMilliseconds(100)).build(), null, onFault, null);
+                .setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build(), null, onFault, null);
     }
 
     /** Starts to listen and returns the address in use. */
@@ -102,13 +107,40 @@
         return counters;
     }
 
-    /** Counts a client's connection in or out. */
-    void connection(boolean opened) {
-        connections.addAndGet(opened ? 1 : -1);
+    /** Counts a client's connection in, and ends another one if there are too many. On the I/O thread. */
+    void opened(ClientConnection connection) {
+        counters.count(Counter.CLIENTS_ACCEPTED);
+        connections.add(connection);
+        connected = connections.size();
+        if (connected > room) {
+            leastNeeded(connection).close(Counter.CLIENTS_CLOSED_FOR_ROOM);
+        }
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+        connected = connections.size();
+    }
+
+    /**
+     * Guards against descriptors running out, with which accepting would end for good: the client that has said
+     * nothing for the longest time, else the one idle longest, else the newcomer; never one that is owed an answer.
+     */
+    private ClientConnection leastNeeded(ClientConnection newcomer) {
+        ClientConnection idle = null;
+        for (ClientConnection connection : connections) {
+            if (connection.silentMs() >= SILENT_MS) {
+                return connection;
+            }
+            if (connection.idleMs() >= IDLE_MS && (idle == null || connection.idleMs() > idle.idleMs())) {
+                idle = connection;
+            }
+        }
+        return idle == null ? newcomer : idle;
     }
 
-    /** Whether an answer is to be its connection's last: at the end, and lest idle clients use up the descriptors. */
+    /** Whether an answer is to be its connection's last: at the end, and when room is getting short. */
     boolean closing() {
-        return closing || connections.get() > connectionsKept;
+        return closing || connected > room * 3 / 4;
     }
 }
--- a/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/src/main/java/calicochute/frontend/SessionHandler.java
@@ -6,6 +6,7 @@
 import calicochute.exchange.Respondent;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Log;
+import calicochute.settings.Bounds;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -27,9 +28,9 @@
 
 /** One request on a client's connection: collects it, hands it over as an exchange, writes the answer. */
 final class SessionHandler implements AsyncServerExchangeHandler, Respondent {
-    private static final int BODY_LIMIT = 1 << 16;
     /** Beyond this much of a body that is too long the connection is ended instead of read on. */
-    private static final int DISCARD_LIMIT = 1 << 20;
+    private static final int DISCARD_LIMIT = 4 * Bounds.BODY;
+    private final ClientConnection.State connection;
     private final Frontend frontend;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private long received;
@@ -38,10 +39,11 @@
     private HttpContext context;
     private Exchange exchange;
     private volatile ByteBuffer answer = ByteBuffer.allocate(0);
-    private volatile boolean sent;
+    private volatile boolean answering;
 
-    SessionHandler(Frontend frontend) {
-        this.frontend = frontend;
+    SessionHandler(ClientConnection.State connection) {
+        this.connection = connection;
+        frontend = connection.frontend;
     }
 
     @Override
@@ -52,6 +54,9 @@
         context = ctx;
         if (entity == null) {
             begin();
+        } else if (entity.getContentLength() > Bounds.BODY) {
+            // At the head: a client that says it will send too much need not do so first.
+            refuse(tooLong());
         }
     }
 
@@ -66,10 +71,19 @@
         if (received > DISCARD_LIMIT) {
             throw new IOException("body over " + DISCARD_LIMIT + " bytes");
         }
-        byte[] bytes = new byte[data.remaining()];
-        data.get(bytes);
-        if (received <= BODY_LIMIT) {
+        if (received <= Bounds.BODY) {
+            byte[] bytes = new byte[data.remaining()];
+            data.get(bytes);
             body.write(bytes, 0, bytes.length);
+        } else {
+            data.position(data.limit());
+            if (!answering) {
+                try {
+                    refuse(tooLong());
+                } catch (HttpException e) {
+                    throw new IOException(e);
+                }
+            }
         }
     }
 
@@ -78,7 +92,23 @@
         begin();
     }
 
+    private static SessionReader.BadInput tooLong() {
+        return new SessionReader.BadInput(413, "body over " + Bounds.BODY + " bytes");
+    }
+
+    private void refuse(SessionReader.BadInput e) throws HttpException, IOException {
+        frontend.counters().count(Counter.SESSIONS_BAD_INPUT);
+        Log.warn("bad-input", "status=" + e.status + " " + e.getMessage());
+        // Guards against floods: whoever sends what can't be used starts again on a new connection.
+        connection.refuse();
+        respond(e.status, List.of(), (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
     private void begin() throws HttpException, IOException {
+        if (answering) {
+            return;
+        }
+        connection.received();
         if (frontend.answersItself(request.getPath())) {
             String text = frontend.page(request.getPath());
             respond(text == null ? 503 : 200, List.of(), (text == null ? "not ready\n" : text)
@@ -86,14 +116,9 @@
             return;
         }
         try {
-            if (received > BODY_LIMIT) {
-                throw new SessionReader.BadInput(413, "body over " + BODY_LIMIT + " bytes");
-            }
             exchange = frontend.reader().read(request, body.toByteArray(), frontend.now(), this);
         } catch (SessionReader.BadInput e) {
-            frontend.counters().count(Counter.SESSIONS_BAD_INPUT);
-            Log.warn("bad-input", "status=" + e.status + " " + e.getMessage());
-            respond(e.status, List.of(), (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+            refuse(e);
             return;
         }
         frontend.sessions().taken(exchange);
@@ -123,11 +148,11 @@
         for (Field field : fields) {
             response.addHeader(field.name(), field.value());
         }
-        if (frontend.closing()) {
+        if (connection.last || frontend.closing()) {
             response.addHeader("Connection", "close");
         }
         answer = ByteBuffer.wrap(bytes);
-        sent = bytes.length == 0;
+        answering = true;
         response.addHeader("Content-Length", Integer.toString(bytes.length));
         channel.sendResponse(response, bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null),
             context);
@@ -143,15 +168,14 @@
         if (answer.hasRemaining()) {
             out.write(answer);
             if (!answer.hasRemaining()) {
-                sent = true;
                 out.endStream();
             }
         }
     }
 
-    /** True from the hand-over of a session until its answer is written. */
+    /** True from the hand-over of a session until its answer is begun. */
     boolean owesAnswer() {
-        return exchange != null && !sent;
+        return exchange != null && !answering;
     }
 
     @Override
--- a/src/main/java/calicochute/settings/Configuration.java
+++ b/src/main/java/calicochute/settings/Configuration.java
@@ -19,7 +19,7 @@
  * All that one real balancer is told. {@code known} is the list as it last had it, in discovery's form;
  * {@code connectionIdle} is the time in microseconds after which a backend server drops an idle connection.
  */
-public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, Bounds bounds,
                             long connectionIdle, String known, Settings settings) {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
@@ -38,7 +38,7 @@
             JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
             return new Configuration(text(root, "name"), address("listen", text(root, "listen")),
                 address("discovery", text(root, "discovery")),
-                limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
+                Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS),
                 Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
                 root.has("known") ? root.get("known").toString() : "", settings);
         } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/calicochute/process/BadClientTest.java
@@ -0,0 +1,160 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** The program as clients meet it that send what they should not, or nothing, or too much. */
+public class BadClientTest {
+    private static final String ID = "9b1f03aa5c7e2d41";
+    private static final String VIEW = session(ID, "view");
+    private static final String SCAN = session(ID, "scan");
+    private final CountDownLatch release = new CountDownLatch(1);
+    private Peer discovery;
+    private Peer server;
+    private Program program;
+
+    @Before
+    public void start() throws Exception {
+        discovery = new Peer(r -> {
+            release.await();
+            return null;
+        });
+        server = new Peer(r -> Http.answer(200, "", "a map"));
+        program = new Program(80, discovery, server);
+    }
+
+    /** Whatever came before: nothing of it has reached a server, and the next client is served. */
+    @After
+    public void stop() throws Exception {
+        int before = server.requests.size();
+        assertEquals(200, program.send(session("0" + ID.substring(1), "view")).status());
+        assertEquals(before + 1, server.requests.size());
+        release.countDown();
+        program.stop();
+        server.close();
+        discovery.close();
+    }
+
+    /** Sends the text as it is and returns the status of the one answer, after which the connection has to end. */
+    private int raw(String text) throws Exception {
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            Http answer = Http.read(socket.getInputStream());
+            assertTrue(Program.ended(socket));
+            return answer.status();
+        }
+    }
+
+    /** A body whose end can be read in two ways may hide a request; nothing of it may go on. */
+    @Test
+    public void lengthsThatAreNoneAreRefused() throws Exception {
+        String hidden = "0\r\n\r\n" + VIEW + "\r\n";
+        for (String lengths : List.of("Content-Length: " + hidden.length() + "\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5", "Content-Length: 4\r\nContent-Length: 9",
+            "Content-Length: -4", "Content-Length: +4", "Content-Length: ten", "Content-Length: 99999999999999999999",
+            "Transfer-Encoding: gzip", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding : chunked")) {
+            assertEquals(lengths, 400, raw(SCAN + lengths + "\r\n\r\n" + hidden));
+        }
+        assertEquals(0, server.requests.size());
+    }
+
+    @Test
+    public void headsThatCannotBeReadAreRefused() throws Exception {
+        assertEquals(400, raw(VIEW + "no colon here\r\n\r\n"));
+        assertEquals(400, raw(VIEW + "X-Labels: a\u0001b\r\n\r\n"));
+        assertEquals(431, raw(VIEW + "X-Pad: " + "p".repeat(9000)));
+        assertEquals(431, raw(VIEW + "X-Pad: p\r\n".repeat(100)));
+        assertEquals(431, raw(VIEW + ("X-Pad: " + "p".repeat(4000) + "\r\n").repeat(5)));
+        assertEquals(5, program.counter("sessions_bad_input"));
+    }
+
+    /** Refused at the head: the client has not sent a byte of its body yet. */
+    @Test
+    public void aBodyThatWouldBeTooLongIsRefusedUnread() throws Exception {
+        assertEquals(413, raw(SCAN + "Content-Length: 60000000\r\n\r\n"));
+    }
+
+    /** Clients have one request open at a time: what comes before its answer is left, and the connection ends. */
+    @Test
+    public void requestsAheadOfAnAnswerAreLeft() throws Exception {
+        assertEquals(400, raw((VIEW.replace("view", "none") + "\r\n").repeat(200)));
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "the first");
+        };
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write((VIEW + "\r\n").repeat(3).getBytes(StandardCharsets.US_ASCII));
+            await("dispatched", () -> server.requests.size() == 1);
+            release.countDown();
+            Http answer = Http.read(socket.getInputStream());
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(Program.ended(socket));
+        }
+        assertEquals(1, server.requests.size());
+    }
+
+    /** Who says nothing, or half a request, or a byte now and then, is not waited for; an answer owed still comes. */
+    @Test
+    public void slowClientsAreNotWaitedFor() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "late");
+        };
+        try (Socket owed = program.connect(); Socket silent = program.connect(); Socket half = program.connect();
+             Socket dripping = program.connect()) {
+            owed.getOutputStream().write(Http.message(VIEW, new byte[0]));
+            half.getOutputStream().write("GET /api HTT".getBytes(StandardCharsets.US_ASCII));
+            await("the dripping one ends", () -> {
+                try {
+                    dripping.getOutputStream().write('G');
+                    return false;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+            assertTrue(Program.ended(silent));
+            assertTrue(Program.ended(half));
+            assertEquals(3, program.counter("clients_closed_slow"));
+            release.countDown();
+            assertEquals(200, Http.read(owed.getInputStream()).status());
+        }
+    }
+
+    /** More connections than there is room for: the silent ones make way, the one that is owed an answer does not. */
+    @Test
+    public void silentClientsMakeRoom() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "late");
+        };
+        List<Socket> silent = new ArrayList<>();
+        try (Socket owed = program.connect()) {
+            owed.getOutputStream().write(Http.message(VIEW, new byte[0]));
+            await("dispatched", () -> server.requests.size() == 1);
+            for (int i = 0; i < 60; i++) {
+                silent.add(program.connect());
+            }
+            await("made room", () -> program.counter("clients_closed_for_room") > 40);
+            release.countDown();
+            assertEquals(200, Http.read(owed.getInputStream()).status());
+        }
+        for (Socket socket : silent) {
+            socket.close();
+        }
+    }
+}
