Guard answers: bounded heads, one length, nothing behind them; forget servers that are gone

Now AnswerGuard reads heads, a connection rests 5 ms before its next call, a server's 4xx goes to its client and leaves the server's name alone, servers' connections are bounded, and what is gone or moved is forgotten.

--- a/src/main/java/calicochute/backend/BackendServer.java
+++ b/src/main/java/calicochute/backend/BackendServer.java
@@ -8,14 +8,20 @@
 final class BackendServer {
     record Idle(Connection connection, long since) { }
 
-    InetSocketAddress address;
+    final InetSocketAddress address;
+    /** No longer listed, or listed at another address: nothing is kept for it any more. */
+    boolean gone;
     final ArrayDeque<Idle> idle = new ArrayDeque<>();
 
+    BackendServer(InetSocketAddress address) {
+        this.address = address;
+    }
+
     /** Takes an idle connection that is still open; null if there is none. */
-    Connection take() {
+    Idle take() {
         for (Idle next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
             if (next.connection().open()) {
-                return next.connection();
+                return next;
             }
         }
         return null;
--- a/src/main/java/calicochute/backend/BackendServers.java
+++ b/src/main/java/calicochute/backend/BackendServers.java
@@ -11,18 +11,25 @@
 import calicochute.exchange.Message;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
+import calicochute.settings.Bounds;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
 /** The servers' side: carries out dispatches and probes over connections it keeps. All on the decision thread. */
 public final class BackendServers {
-    private static final int BODY_LIMIT = 1 << 16;
+    /**
+     * How long an answer's connection rests before its next call: what a server sends behind an answer comes at once,
+     * and ends the connection if nothing is awaited on it yet.
+     */
+    private static final long SETTLE = 5_000;
     private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
@@ -30,12 +37,15 @@
     private final List<String> reportFields;
     private final long connectTimeout;
     private final long idleTime;
+    private final int room;
+    /** One for each connection that is open or being opened. */
+    private final Set<Object> connections = new HashSet<>();
     private final DispatchListener listener;
     private final Map<String, BackendServer> servers = new HashMap<>();
     private final Map<Dispatch, Errand> out = new HashMap<>();
 
     public BackendServers(Connector connector, DecisionQueue queue, Counters counters, List<String> reportFields,
-                          long connectTimeout, long connectionIdle, DispatchListener listener) {
+                          long connectTimeout, long connectionIdle, Bounds bounds, DispatchListener listener) {
         this.connector = connector;
         this.queue = queue;
         this.counters = counters;
@@ -43,19 +53,34 @@
         this.connectTimeout = connectTimeout > 0 ? connectTimeout : 1_000_000;
         // Guards against the reset of a call that crosses the server's own closing of an idle connection.
         idleTime = Math.max(1, connectionIdle / 3);
+        room = bounds.serverConnections();
         this.listener = listener;
         queue.after(idleTime / 2, this::sweep);
     }
 
-    /** Learns or changes a server's address. */
+    /** Learns or changes a server's address; connections to the one it had are not used again. */
     public void address(String server, InetSocketAddress address) {
-        BackendServer known = servers.computeIfAbsent(server, s -> new BackendServer());
-        if (!address.equals(known.address)) {
-            known.closeIdleSince(Long.MAX_VALUE);
-            known.address = address;
+        BackendServer known = servers.get(server);
+        if (known == null || !address.equals(known.address)) {
+            forget(server);
+            servers.put(server, new BackendServer(address));
         }
     }
 
+    /** Forgets a server that is gone; what is out there ends by itself. */
+    public void forget(String server) {
+        BackendServer known = servers.remove(server);
+        if (known != null) {
+            known.gone = true;
+            count(known.closeIdleSince(Long.MAX_VALUE));
+        }
+    }
+
+    /** Forgets all servers but these. */
+    public void keepOnly(Set<String> listed) {
+        servers.keySet().stream().filter(s -> !listed.contains(s)).toList().forEach(this::forget);
+    }
+
     public boolean knows(String server) {
         return servers.containsKey(server);
     }
@@ -67,7 +92,7 @@
         Errand errand = new Errand(servers.get(dispatch.server), request(message, timeout), message.body(),
             (outcome, reply) -> {
                 out.remove(dispatch);
-                listener.dispatchEnded(dispatch, outcome, outcome == Outcome.OK ? served(reply) : null,
+                listener.dispatchEnded(dispatch, outcome, answer(outcome, reply),
                     reply == null ? null : LoadReport.parse(reply.header(LOAD), reportFields));
             });
         out.put(dispatch, errand);
@@ -102,6 +127,21 @@
         }
     }
 
+    /** Closes the connection that has been idle longest, whichever server it goes to; false if none is. */
+    private boolean closeIdlest() {
+        BackendServer idlest = null;
+        for (BackendServer server : servers.values()) {
+            if (!server.idle.isEmpty() && (idlest == null
+                || server.idle.peekLast().since() < idlest.idle.peekLast().since())) {
+                idlest = server;
+            }
+        }
+        if (idlest != null) {
+            count(idlest.closeIdleSince(idlest.idle.peekLast().since()));
+        }
+        return idlest != null;
+    }
+
     private void sweep() {
         servers.values().forEach(s -> count(s.closeIdleSince(queue.now() - idleTime)));
         queue.after(idleTime / 2, this::sweep);
@@ -125,6 +165,15 @@
         return request;
     }
 
+    /** The session's final answer, where the reply settles it. */
+    private Answer answer(Outcome outcome, Reply reply) {
+        if (outcome == Outcome.CANCELLED && reply != null) {
+            counters.count(Counter.DISPATCHES_REJECTED);
+            return new Answer.Rejected(reply.status());
+        }
+        return outcome == Outcome.OK ? served(reply) : null;
+    }
+
     private static Answer.Served served(Reply reply) {
         String type = reply.header("Content-Type");
         return new Answer.Served(type == null ? List.of() : List.of(new Field("Content-Type", type)), reply.body());
@@ -138,6 +187,11 @@
         if (turnedAway && "1".equals(reply.header("X-Turned-Away"))) {
             return Outcome.FULL;
         }
+        // Guards against a server's name suffering for a client's fault: a 4xx says that the request is wrong, not the
+        // server, and holds for the next one too. But whoever words it, 429 is a deny, and this may have run.
+        if (reply.status() >= 400 && reply.status() < 500 && reply.status() != 429) {
+            return Outcome.CANCELLED;
+        }
         return reply.status() == 200 ? Outcome.OK : Outcome.ERROR;
     }
 
@@ -171,20 +225,52 @@
         }
 
         private void begin() {
-            Connection idle = server.take();
+            if (ended) {
+                return;
+            }
+            BackendServer.Idle idle = server.take();
             if (idle != null) {
-                counters.count(Counter.CONNECTIONS_REUSED);
-                connection = idle;
-                call(true);
+                connection = idle.connection();
+                long rest = idle.since() + SETTLE - queue.now();
+                if (rest > 0) {
+                    queue.after(rest, this::reuse);
+                } else {
+                    reuse();
+                }
                 return;
             }
+            if (connections.size() >= room && !closeIdlest()) {
+                // Guards against descriptors running out: nothing was sent, as if the server could not be reached.
+                end(Outcome.CONNECT_FAILED, null);
+                return;
+            }
+            Object one = new Object();
+            connections.add(one);
             counters.count(Counter.CONNECTIONS_OPENED);
             // A connection that never comes up is never answered by the network: only this alarm ends the wait.
             connecting = queue.after(connectTimeout, () -> end(Outcome.CONNECT_FAILED, null));
             BackendServer at = server;
-            Consumer<Connection> closed = c -> queue.post(() -> at.idle.removeIf(i -> i.connection() == c));
+            Consumer<Connection> closed = c -> queue.post(() -> {
+                connections.remove(one);
+                at.idle.removeIf(i -> i.connection() == c);
+            });
             connection = connector.open(server.address, connectTimeout, c -> queue.post(this::opened),
-                e -> queue.post(() -> end(Outcome.CONNECT_FAILED, null)), closed);
+                e -> queue.post(() -> {
+                    connections.remove(one);
+                    end(Outcome.CONNECT_FAILED, null);
+                }), closed);
+        }
+
+        private void reuse() {
+            if (ended) {
+                return;
+            }
+            if (connection.open()) {
+                counters.count(Counter.CONNECTIONS_REUSED);
+                call(true);
+            } else {
+                begin();
+            }
         }
 
         private void opened() {
@@ -196,7 +282,7 @@
 
         private void call(boolean reused) {
             called = true;
-            connection.call(request, body, BODY_LIMIT, reply -> queue.post(() -> replied(reply, reused)));
+            connection.call(request, body, Bounds.BODY, reply -> queue.post(() -> replied(reply, reused)));
         }
 
         private void replied(Reply reply, boolean reused) {
@@ -210,7 +296,7 @@
                 begin();
                 return;
             }
-            if (reply.reusable()) {
+            if (reply.reusable() && !server.gone) {
                 server.idle.addFirst(new BackendServer.Idle(connection, queue.now()));
                 connection = null;
             }
--- a/src/main/java/calicochute/backend/DispatchListener.java
+++ b/src/main/java/calicochute/backend/DispatchListener.java
@@ -6,8 +6,8 @@
 
 /** Hears on the decision thread how dispatches and probes ended, each exactly once. */
 public interface DispatchListener {
-    /** {@code served} is the answer where the outcome is OK, else null; {@code load} may be null. */
-    void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer.Served served, double[] load);
+    /** {@code answer} is the session's final answer where this settles it, else null; {@code load} may be null. */
+    void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load);
 
     void probeEnded(String server, Outcome outcome, long elapsed, double[] load);
 }
--- a/src/main/java/calicochute/connection/Call.java
+++ b/src/main/java/calicochute/connection/Call.java
@@ -23,6 +23,7 @@
 
 /** One request and its answer on one connection; never sent again. Its end is told once, from an I/O thread. */
 final class Call implements AsyncClientExchangeHandler {
+    private static final int INTERIM_LIMIT = 16;
     private final HttpRequest request;
     private final ByteBuffer body;
     private final int bodyLimit;
@@ -32,6 +33,7 @@
     private EndpointDetails endpoint;
     private long sentBefore;
     private HttpResponse response;
+    private int interim;
     private boolean whole;
     private boolean reusable;
 
@@ -68,12 +70,18 @@
     }
 
     @Override
-    public void consumeInformation(HttpResponse information, HttpContext context) {
-        // An interim answer says nothing that the decisions need.
+    public void consumeInformation(HttpResponse information, HttpContext context) throws HttpException {
+        // An interim answer says nothing that the decisions need. Guards against a server that sends no other.
+        if (++interim > INTERIM_LIMIT) {
+            throw new ProtocolException("over " + INTERIM_LIMIT + " interim answers");
+        }
     }
 
     @Override
-    public void consumeResponse(HttpResponse head, EntityDetails entity, HttpContext context) {
+    public void consumeResponse(HttpResponse head, EntityDetails entity, HttpContext context) throws HttpException {
+        if (entity != null && entity.getContentLength() > bodyLimit) {
+            throw new ProtocolException("answer over " + bodyLimit + " bytes");
+        }
         response = head;
         reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, head, context);
         whole = entity == null;
--- a/src/main/java/calicochute/connection/Connection.java
+++ b/src/main/java/calicochute/connection/Connection.java
@@ -15,6 +15,7 @@
     private final Consumer<Connection> onClosed;
     private volatile IOSession session;
     private volatile boolean closed;
+    private volatile boolean awaitsAnswer;
 
     Connection(Consumer<Connection> onClosed) {
         this.onClosed = onClosed;
@@ -38,11 +39,21 @@
 
     /** Sends one request; {@code end} hears on an I/O thread how it ended. */
     public void call(HttpRequest request, byte[] body, int bodyLimit, Consumer<Reply> end) {
+        awaitsAnswer = true;
         Call call = new Call(request, body, bodyLimit, end);
         call.on(((HttpConnection) session.getHandler()).getEndpointDetails());
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
+    /** True from a call until the head of its final answer. */
+    boolean awaitsAnswer() {
+        return awaitsAnswer;
+    }
+
+    void answerBegun() {
+        awaitsAnswer = false;
+    }
+
     public void close() {
         closed = true;
         IOSession open = session;
--- a/src/main/java/calicochute/connection/Connector.java
+++ b/src/main/java/calicochute/connection/Connector.java
@@ -1,5 +1,6 @@
 package calicochute.connection;
 
+import calicochute.settings.Bounds;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
@@ -9,6 +10,7 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
@@ -21,8 +23,9 @@
 
 /** Opens connections to servers of any sort; one I/O thread carries them all. */
 public final class Connector implements AutoCloseable {
-    private final ClientHttp1StreamDuplexerFactory duplexers = new ClientHttp1StreamDuplexerFactory(
-        HttpProcessorBuilder.create().build(), Http1Config.DEFAULT, CharCodingConfig.DEFAULT);
+    static final Http1Config LIMITS = Http1Config.custom().setBufferSize(Bounds.BUFFER)
+        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS).build();
+    private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
     private final DefaultConnectingIOReactor reactor;
 
     public Connector() {
@@ -67,11 +70,13 @@
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         session.setSocketTimeout(Timeout.DISABLED);
-        return new ClientHttp1IOEventHandler(duplexers.create(session)) {
+        Connection connection = (Connection) attachment;
+        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexerFactory(PROCESSOR, LIMITS,
+            CharCodingConfig.DEFAULT, null, () -> new AnswerGuard(connection), null, null).create(session)) {
             @Override
             public void disconnected(IOSession ended) {
                 super.disconnected(ended);
-                ((Connection) attachment).disconnected();
+                connection.disconnected();
             }
         };
     }
--- a/src/main/java/calicochute/exchange/Answer.java
+++ b/src/main/java/calicochute/exchange/Answer.java
@@ -13,6 +13,9 @@
     /** Failed, with nothing promised of its effect. */
     record Failed(boolean late) implements Answer { }
 
+    /** A backend server found the request itself at fault. */
+    record Rejected(int status) implements Answer { }
+
     /** Never worked on, since another session of the same name is open. */
     record Repeated() implements Answer { }
 }
--- a/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/src/main/java/calicochute/frontend/SessionHandler.java
@@ -134,7 +134,10 @@
                     String.format(Locale.ROOT, "%.3f", denied.retryAfter() / 1e6))), new byte[0]);
             } else if (given instanceof Answer.Failed failed) {
                 respond(failed.late() ? 504 : 502, List.of(), new byte[0]);
+            } else if (given instanceof Answer.Rejected rejected) {
+                respond(rejected.status(), List.of(), new byte[0]);
             } else {
+                connection.refuse();
                 respond(409, List.of(), "X-Txn is still being worked on\n".getBytes(StandardCharsets.US_ASCII));
             }
         } catch (HttpException | IOException | IllegalStateException e) {
--- a/src/main/java/calicochute/node/Node.java
+++ b/src/main/java/calicochute/node/Node.java
@@ -61,7 +61,7 @@
         queue = new DecisionThread(counters);
         balancer = Balancer.create(settings);
         backend = new BackendServers(connector, queue, counters, settings.reportFields(),
-            settings.limits().connectTimeout(), configuration.connectionIdle(), this);
+            settings.limits().connectTimeout(), configuration.connectionIdle(), configuration.bounds(), this);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), this);
         frontend = new Frontend(configuration, queue, this, counters, () -> ready);
     }
@@ -107,6 +107,11 @@
     private void list(ListKind kind, ServerList list) {
         list.addresses().forEach(backend::address);
         tell(new Balancer.BackendList(kind, list.entries()));
+        if (kind != ListKind.CHANGES) {
+            backend.keepOnly(list.addresses().keySet());
+        }
+        list.entries().stream().filter(e -> e.state() == Balancer.BackendState.GONE)
+            .forEach(e -> backend.forget(e.id()));
         ready |= !list.addresses().isEmpty();
     }
 
@@ -191,13 +196,13 @@
     // ---- Dispatches
 
     @Override
-    public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer.Served served, double[] load) {
+    public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load) {
         Exchange exchange = dispatch.exchange;
         boolean first = dispatch.end(outcome);
         counters.mustHold(first, "a dispatch ended twice");
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
-        if (outcome == Outcome.OK) {
-            answer(exchange, served);
+        if (answer != null) {
+            answer(exchange, answer);
         }
         tell(new Balancer.AttemptEnded(exchange.id, dispatch.number, dispatch.server, exchange.closed(), outcome,
             queue.now() - dispatch.sentAt, load));
--- /dev/null
+++ b/src/test/java/calicochute/process/BadServerTest.java
@@ -0,0 +1,110 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.list;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** The program as backend servers meet it whose answers are spoilt, or bring more than belongs to them. */
+public class BadServerTest {
+    private static final String ID = "9b1f03aa5c7e2d41";
+    private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na map";
+    private final CountDownLatch release = new CountDownLatch(1);
+    private Peer discovery;
+    private Peer server;
+    private Program program;
+
+    @Before
+    public void start() throws Exception {
+        discovery = new Peer(r -> {
+            release.await();
+            return null;
+        });
+        server = new Peer(r -> GOOD.getBytes(StandardCharsets.US_ASCII));
+        program = new Program(discovery, server);
+    }
+
+    @After
+    public void stop() throws Exception {
+        release.countDown();
+        program.stop();
+        server.close();
+        discovery.close();
+    }
+
+    private Http order(String answer) throws Exception {
+        server.script = r -> answer.getBytes(StandardCharsets.ISO_8859_1);
+        return program.send(session(ID, "order"), new byte[1]);
+    }
+
+    /** It may have run and is not repeated; nothing of the answer is served, and its connection is not used again. */
+    @Test
+    public void spoiltAnswersAreFailures() throws Exception {
+        List<String> spoilt = List.of("noise\r\n\r\n", "ICY 200 OK\r\n\r\n", GOOD.replace("200 OK", "2x0"),
+            GOOD.replace("OK\r\n", "OK\r\nno colon\r\n"), GOOD.replace(": 5", ": -1"),
+            GOOD.replace("\r\n\r\n", "\r\nContent-Length: 3\r\n\r\n"),
+            GOOD.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            GOOD.replace("Content-Length: 5", "Transfer-Encoding: chunked").replace("a map", "1\r\na\r\nzz\r\n"),
+            GOOD.replace(": 5", ": 3000000000"),
+            "HTTP/1.1 200 OK\r\n" + "X-Pad: p\r\n".repeat(1000), "HTTP/1.1 102 Processing\r\n\r\n".repeat(100));
+        for (String answer : spoilt) {
+            assertEquals(answer, 502, order(answer).status());
+        }
+        await("closed", () -> server.ended.size() == spoilt.size());
+        assertEquals(spoilt.size(), server.requests.size());
+    }
+
+    /** What comes ahead of a good answer or in its report does no harm, and what comes behind is nobody's answer. */
+    @Test
+    public void goodAnswersStayGood() throws Exception {
+        String report = GOOD.replace("\r\n\r\n", "\r\nX-Pressure: inflight=NaN,qps=-1\r\n\r\n");
+        for (String answer : List.of("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + GOOD, report, GOOD + GOOD,
+            GOOD + "noise without an end")) {
+            int open = server.ended.size();
+            Http served = order(answer);
+            assertEquals(200, served.status());
+            assertEquals("a map", new String(served.body(), StandardCharsets.US_ASCII));
+            if (answer.length() > GOOD.length() && answer.startsWith(GOOD)) {
+                await("closed", () -> server.ended.size() == open + 1);
+            }
+            assertEquals("next", new String(order(GOOD.replace("a map", "next").replace(": 5", ": 4")).body(),
+                StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** A 4xx is the client's, passed on and not repeated; but a deny may not follow what may have run. */
+    @Test
+    public void aRequestAtFaultIsNotTheServersFault() throws Exception {
+        assertEquals(400, order("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").status());
+        assertEquals(502, order("HTTP/1.1 429 Enough\r\nContent-Length: 0\r\n\r\n").status());
+        assertEquals(2, server.requests.size());
+        assertEquals(1, program.counter("dispatches_rejected"));
+    }
+
+    /** A server that is gone is forgotten, with its connections; another one at its address starts with new ones. */
+    @Test
+    public void aServerThatIsGoneIsForgotten() throws Exception {
+        assertEquals(200, order(GOOD).status());
+        discovery.script = r -> {
+            if (r.firstLine().contains("since=2")) {
+                release.await();
+            }
+            return Http.answer(200, "", list(2, "Gone", server).replace("]}", "," + list(1, "Ready", server)
+                .replaceAll(".*\\[|\\].*", "").replace("\"s127", "\"new127") + "]}"));
+        };
+        for (java.net.Socket socket : discovery.connections) {
+            socket.close();
+        }
+        await("told", () -> program.log().contains("generation=2"));
+        await("its connection is closed", () -> server.ended.size() == 1);
+        assertEquals(200, order(GOOD).status());
+        assertEquals(2, server.connections.size());
+    }
+}
