Listen again after running out of descriptors, which ends HttpCore's acceptor

Seen: a probe with 400 connections at once against 'ulimit -n 100' logged 'Too many open files' once, and from then on the address refused everybody until the process was restarted. Cause: SingleCoreListeningIOReactor lets the IOException of accept end its thread; the connections that Frontend closes for room come too late in such a moment. Ruled out: the worker thread, which kept serving what had been accepted. The new test fails without the change (connection refused for good).

--- a/src/main/java/calicochute/frontend/Frontend.java
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -13,10 +13,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
-import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.Closer;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
@@ -28,18 +28,25 @@
     /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
     private static final long SILENT_MS = 250;
     private static final long IDLE_MS = 2000;
+    private static final long PAUSE_MS = 50;
+    private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+        .setBacklogSize(1024).setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build();
     private final SessionReader reader;
     private final DecisionQueue clock;
     private final Sessions sessions;
     private final Counters counters;
     private final BooleanSupplier ready;
-    private final HttpAsyncServer server;
-    private ListenerEndpoint listener;
+    private final Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
+    private InetSocketAddress address;
+    private DefaultListeningIOReactor reactor;
+    private Thread acceptor;
+    private volatile ListenerEndpoint listener;
     private final int room;
-    /** Clients' connections, the oldest first; the I/O thread's own. */
+    /** Clients' connections, the oldest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int connected;
     private volatile boolean closing;
+    private volatile boolean stopped;
 
     public Frontend(Configuration configuration, DecisionQueue clock, Sessions sessions, Counters counters,
                     BooleanSupplier ready) {
@@ -49,21 +56,65 @@
         this.counters = counters;
         this.ready = ready;
         room = configuration.bounds().clientConnections();
-        Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
-        server = new HttpAsyncServer((session, attachment) -> ClientConnection.on(session, this, onFault),
-            IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setBacklogSize(1024)
-                .setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build(), null, onFault, null);
     }
 
     /** Starts to listen and returns the address in use. */
-    public InetSocketAddress start(InetSocketAddress address) throws IOException, InterruptedException {
-        server.start();
+    public InetSocketAddress start(InetSocketAddress at) throws IOException, InterruptedException {
+        address = at;
+        listen();
+        return (InetSocketAddress) listener.getAddress();
+    }
+
+    private synchronized void listen() throws IOException, InterruptedException {
+        if (stopped) {
+            return;
+        }
+        Thread[] accepting = new Thread[1];
+        DefaultListeningIOReactor next = new DefaultListeningIOReactor(
+            (session, attachment) -> ClientConnection.on(session, this, onFault), REACTOR,
+            task -> new Thread(task, "frontend-io"),
+            task -> accepting[0] = new Thread(() -> {
+                task.run();
+                listenAgain();
+            }, "frontend-accept"), null, onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
+        next.start();
         try {
-            listener = server.listen(address, URIScheme.HTTP).get();
+            listener = next.listen(address, null).get();
         } catch (ExecutionException e) {
+            next.close(CloseMode.IMMEDIATE);
             throw new IOException("cannot listen at " + address + ": " + e.getCause().getMessage(), e);
         }
-        return (InetSocketAddress) listener.getAddress();
+        if (reactor != null) {
+            // Its connections go on to the ends of their answers.
+            reactor.initiateShutdown();
+        }
+        reactor = next;
+        acceptor = accepting[0];
+    }
+
+    private synchronized boolean acceptorEnded() {
+        return !stopped && acceptor == Thread.currentThread();
+    }
+
+    /**
+     * Guards against HttpCore's acceptor, which ends at the first connection that there is no descriptor for: clients
+     * by the hundred in one moment can use them up before the first is closed.
+     */
+    private void listenAgain() {
+        while (acceptorEnded()) {
+            try {
+                Thread.sleep(PAUSE_MS);
+                listen();
+                counters.count(Counter.ACCEPTOR_RESTARTS);
+                Log.warn("acceptor-restarted", "connections=" + connected);
+                return;
+            } catch (IOException | IllegalStateException e) {
+                Log.info("acceptor-waits", String.valueOf(e.getMessage()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
     }
 
     /** From now on each answer is the last on its connection. */
@@ -73,13 +124,19 @@
 
     /** Takes no more connections and closes the idle ones; what is being answered goes on to its end. */
     public void stopListening() {
+        stopped = true;
+        DefaultListeningIOReactor last = last();
         Closer.closeQuietly(listener);
-        server.initiateShutdown();
+        last.initiateShutdown();
+    }
+
+    private synchronized DefaultListeningIOReactor last() {
+        return reactor;
     }
 
     @Override
     public void close() {
-        server.close(CloseMode.GRACEFUL);
+        last().close(CloseMode.GRACEFUL);
     }
 
     boolean answersItself(String path) {
@@ -107,8 +164,8 @@
         return counters;
     }
 
-    /** Counts a client's connection in, and ends another one if there are too many. On the I/O thread. */
-    void opened(ClientConnection connection) {
+    /** Counts a client's connection in, and ends another one if there are too many. */
+    synchronized void opened(ClientConnection connection) {
         counters.count(Counter.CLIENTS_ACCEPTED);
         connections.add(connection);
         connected = connections.size();
@@ -117,7 +174,7 @@
         }
     }
 
-    void closed(ClientConnection connection) {
+    synchronized void closed(ClientConnection connection) {
         connections.remove(connection);
         connected = connections.size();
     }
--- a/src/test/java/calicochute/process/BadClientTest.java
+++ b/src/test/java/calicochute/process/BadClientTest.java
@@ -32,7 +32,7 @@
             return null;
         });
         server = new Peer(r -> Http.answer(200, "", "a map"));
-        program = new Program(80, discovery, server);
+        program = new Program("", 80, discovery, server);
     }
 
     /** Whatever came before: nothing of it has reached a server, and the next client is served. */
@@ -134,6 +134,26 @@
         }
     }
 
+    /** With fewer descriptors than promised accepting breaks off; it has to come back with the descriptors. */
+    @Test
+    public void acceptingOutlivesALackOfDescriptors() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        Program scarce = new Program("ulimit -n 100; ", 1024, discovery, server);
+        try {
+            await("out of descriptors", () -> {
+                silent.add(scarce.connect());
+                return scarce.log().contains("Too many open files");
+            });
+            for (Socket socket : silent) {
+                socket.close();
+            }
+            await("served", () -> scarce.send(session("1" + ID.substring(1), "view")).status() == 200);
+            assertTrue(scarce.counter("acceptor_restarts") > 0);
+        } finally {
+            scarce.stop();
+        }
+    }
+
     /** More connections than there is room for: the silent ones make way, the one that is owed an answer does not. */
     @Test
     public void silentClientsMakeRoom() throws Exception {
--- a/src/test/java/calicochute/process/Program.java
+++ b/src/test/java/calicochute/process/Program.java
@@ -37,10 +37,11 @@
     private final Path log;
 
     Program(Peer discovery, Peer... servers) throws Exception {
-        this(1024, discovery, servers);
+        this("", 1024, discovery, servers);
     }
 
-    Program(int sockets, Peer discovery, Peer... servers) throws Exception {
+    /** {@code shell} goes before the command, such as a limit to run under. */
+    Program(String shell, int sockets, Peer discovery, Peer... servers) throws Exception {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = probe.getLocalPort();
         }
@@ -49,16 +50,21 @@
             + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list(1, "Ready", servers) + ",\"settings\":"
             + SETTINGS + "}");
         log = Files.createTempFile("calicochute", ".log");
-        process = start(log, "serve", "--config", config.toString());
+        process = start(shell, log, "serve", "--config", config.toString());
         await("ready", () -> send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200);
     }
 
     /** Starts the program with assertions on, as built, and sends what it prints to a file. */
     static Process start(Path log, String... arguments) throws IOException {
+        return start("", log, arguments);
+    }
+
+    private static Process start(String shell, Path log, String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp",
             System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             "calicochute.cli.Main"));
         command.addAll(List.of(arguments));
+        command.addAll(0, List.of("sh", "-c", shell + "exec \"$@\"", "sh"));
         return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(new File(log.toString())).start();
     }
 
