A backend abroad counts at 0.35 of its speed: less crossing of zones

Checked: nothing on the sockets sends elsewhere than Choice says. Choice.pick left home as soon as a home server had two attempts out or one failure behind it, since 0.6 of an idle server's speed beats that.

--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -34,7 +34,7 @@
     /** How strongly an own attempt still out discounts its backend. */
     private static final double CROWD = 0.5;
     /** Where crossing zones is priced, a backend abroad counts at this share of its speed. */
-    private static final double ABROAD = 0.6;
+    private static final double ABROAD = 0.35;
     /** An attempt's age bounds its backend's speed once past this many typical latencies. */
     private static final double PATIENCE = 2;
     /** Headroom is the time left over this many best latencies; bands and temperatures as in the design. */
