Broken connections are no load, and admission moves slower; ended connections are not trusted

A probe of each dispatch showed one balancer cutting its limit of open sessions from 20 to 4 in three seconds (aimRatio 0.40 to 0.52) while the other one of the tier never cut, and 34 dispatches reset within 5 ms on connections that had been idle for 50 to 400 ms, and 10 new ones reset at once. At fault: Choice.retry counted each failed connect and time-out as fully late, Choice.aim cut by a tenth each third of a latency, on answers to what was sent before the cut. Errand took any idle connection for a good one.

The acceptor's restart waits at most 2 s for HttpCore, which never says that it had no descriptor to listen with: found by its own test, which once hung.

--- a/src/main/java/calicochute/backend/BackendServer.java
+++ b/src/main/java/calicochute/backend/BackendServer.java
@@ -13,6 +13,9 @@
     boolean gone;
     final ArrayDeque<Idle> idle = new ArrayDeque<>();
 
+    /** Until then its connections serve one call each. */
+    private long waryUntil;
+
     BackendServer(InetSocketAddress address) {
         this.address = address;
     }
@@ -27,6 +30,16 @@
         return null;
     }
 
+    /** It ended a connection that was kept for it: for a while none is kept, lest calls be written to ended ones. */
+    int beWary(long until) {
+        waryUntil = until;
+        return closeIdleSince(Long.MAX_VALUE);
+    }
+
+    boolean keeps(long now) {
+        return !gone && now >= waryUntil;
+    }
+
     /** Closes those idle since before that time; tells how many. */
     int closeIdleSince(long time) {
         int closed = 0;
--- a/src/main/java/calicochute/backend/BackendServers.java
+++ b/src/main/java/calicochute/backend/BackendServers.java
@@ -30,6 +30,10 @@
      * and ends the connection if nothing is awaited on it yet.
      */
     private static final long SETTLE = 5_000;
+    /** How long a new connection rests before its call: a server that resets it at once has then run nothing. */
+    private static final long FRESH = 2_000;
+    /** How long no connections are kept for a server that ended one early. */
+    private static final long WARY = 20_000_000;
     private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
@@ -142,6 +146,12 @@
         return idlest != null;
     }
 
+    /** Guards against the next call's being written to a connection that its server has ended. */
+    private void endedEarly(BackendServer server) {
+        counters.count(Counter.CONNECTIONS_ENDED_EARLY);
+        count(server.beWary(queue.now() + WARY));
+    }
+
     private void sweep() {
         servers.values().forEach(s -> count(s.closeIdleSince(queue.now() - idleTime)));
         queue.after(idleTime / 2, this::sweep);
@@ -252,7 +262,9 @@
             BackendServer at = server;
             Consumer<Connection> closed = c -> queue.post(() -> {
                 connections.remove(one);
-                at.idle.removeIf(i -> i.connection() == c);
+                if (at.idle.removeIf(i -> i.connection() == c)) {
+                    endedEarly(at);
+                }
             });
             connection = connector.open(server.address, connectTimeout, c -> queue.post(this::opened),
                 e -> queue.post(() -> {
@@ -276,7 +288,13 @@
         private void opened() {
             if (!ended) {
                 connecting.cancel();
-                call(false);
+                queue.after(FRESH, () -> {
+                    if (!ended && connection.open()) {
+                        call(false);
+                    } else {
+                        end(Outcome.CONNECT_FAILED, null);
+                    }
+                });
             }
         }
 
@@ -296,7 +314,11 @@
                 begin();
                 return;
             }
-            if (reply.reusable() && !server.gone) {
+            if (reused && reply.response() == null) {
+                // It may have been ended before this call was written.
+                endedEarly(server);
+            }
+            if (reply.reusable() && server.keeps(queue.now())) {
                 server.idle.addFirst(new BackendServer.Idle(connection, queue.now()));
                 connection = null;
             }
--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -35,8 +35,8 @@
     private static final double CROWD = 0.5;
     /** Where crossing zones is priced, a backend abroad counts at this share of its speed. */
     private static final double ABROAD = 0.35;
-    /** An attempt's age bounds its backend's speed once past this many typical latencies. */
-    private static final double PATIENCE = 2;
+    /** Typical latencies past which an attempt's age bounds its backend's speed, and tells no load. */
+    private static final double PATIENCE = 2, HUNG = 5;
     /** Headroom is the time left over this many best latencies; bands and temperatures as in the design. */
     private static final double MULTIPLE = 5;
     private static final double LOW = 0.3, TARGET = 0.5, HIGH = 0.8, TAU_TARGET = 0.04, TAU_FULL = 0.07;
@@ -51,7 +51,7 @@
     private static final double AIM_SHARE = 0.38;
     /** The least worthy request is refused this far below the limit. */
     private static final double WORTH_SPREAD = 0.3;
-    private static final int LIMIT_MIN = 4;
+    private static final int LIMIT_MIN = 8;
     /** Arrivals by which the common patience must lead before another one is taken for a later try. */
     private static final int VOTES = 8;
     private static final long REVIEW = 250_000;
@@ -182,15 +182,15 @@
     }
 
     private void retry(Request r, Outcome outcome) {
-        // DANGER: full tables answer nothing, so overload would look like rest: it counts as late.
-        if (outcome.provesNotRun()) { aim(r, 1); }
+        // DANGER: full tables answer nothing, so overload would look like rest: late. A failed connect tells no load.
+        if (outcome == Outcome.FULL) { aim(r, 1); }
         if (now < r.deadline && retryTokens >= 1) {
             retryTokens -= 1;
             dispatch(r);
             return;
         }
-        // DANGER: a time-out at the deadline still owes an answer, and owes it in this very batch.
-        if (outcome == Outcome.TIMED_OUT) { aim(r, 1); }
+        // DANGER: a time-out at the deadline still owes an answer, in this very batch. A hung backend's tells no load.
+        if (outcome == Outcome.TIMED_OUT && now - r.arrivedAt < HUNG * seen[r.cls].latency) { aim(r, 1); }
         giveUp(r);
     }
 
@@ -515,14 +515,14 @@
     private void aim(Request r, double atLeast) {
         double base = Math.min(seen[r.cls].base, classes[r.cls].aim() / 2.0);
         double ratio = Math.max(atLeast, (now - r.arrivedAt - base) / (classes[r.cls].aim() - base));
-        aimRatio += (Math.min(ratio, 1) - aimRatio) / Math.min(16, limit);
+        aimRatio += (Math.min(ratio, 1) - aimRatio) / 16;
         if (aimRatio > AIM_SHARE) {
             if (now >= limitCutAt) {
-                limit = Math.max(LIMIT_MIN, Math.min(limit, open + 1) * 0.9);
-                limitCutAt = now + Math.max(REVIEW, (long) seen[r.cls].latency / 3);
+                limit = Math.max(LIMIT_MIN, Math.min(limit, open + 1) * 0.95);
+                limitCutAt = now + Math.max(REVIEW, (long) seen[r.cls].latency);
             }
         } else if (open > limit * (1 - WORTH_SPREAD)) {
-            limit += Math.max(3 / limit, 0.25 - aimRatio / AIM_SHARE / 2);
+            limit += Math.max(6 / limit, 0.25 - aimRatio / AIM_SHARE / 2);
         }
     }
 
--- a/src/main/java/calicochute/frontend/Frontend.java
+++ b/src/main/java/calicochute/frontend/Frontend.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
@@ -29,6 +31,7 @@
     private static final long SILENT_MS = 250;
     private static final long IDLE_MS = 2000;
     private static final long PAUSE_MS = 50;
+    private static final long LISTEN_MS = 2000;
     private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
         .setBacklogSize(1024).setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build();
     private final SessionReader reader;
@@ -79,10 +82,12 @@
             }, "frontend-accept"), null, onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
         next.start();
         try {
-            listener = next.listen(address, null).get();
-        } catch (ExecutionException e) {
+            // HttpCore never completes this if there is no descriptor for the listening socket.
+            listener = next.listen(address, null).get(LISTEN_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
             next.close(CloseMode.IMMEDIATE);
-            throw new IOException("cannot listen at " + address + ": " + e.getCause().getMessage(), e);
+            throw new IOException("cannot listen at " + address + ": "
+                + (e.getCause() == null ? "no answer" : e.getCause().getMessage()), e);
         }
         if (reactor != null) {
             // Its connections go on to the ends of their answers.
