--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -182,14 +182,14 @@
     }
 
     private void retry(Request r, Outcome outcome) {
-        // DANGER: full tables answer nothing, so overload would look like rest: late. A failed connect tells no load.
+        // DANGER: full tables answer nothing: overload looks like rest. A failed connect tells no load.
         if (outcome == Outcome.FULL) { aim(r, 1); }
         if (now < r.deadline && retryTokens >= 1) {
             retryTokens -= 1;
             dispatch(r);
             return;
         }
-        // DANGER: a time-out at the deadline still owes an answer, in this very batch. A hung backend's tells no load.
+        // DANGER: a time-out at the deadline still owes an answer, in this batch. A hung backend's is no load.
         if (outcome == Outcome.TIMED_OUT && now - r.arrivedAt < HUNG * seen[r.cls].latency) { aim(r, 1); }
         giveUp(r);
     }
