--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -189,7 +189,7 @@
             dispatch(r);
             return;
         }
-        // DANGER: a time-out at the deadline still owes an answer, in this batch. A hung backend's is no load.
+        // DANGER: a time-out at the deadline still owes an answer now. A hung backend's is no load.
         if (outcome == Outcome.TIMED_OUT && now - r.arrivedAt < HUNG * seen[r.cls].latency) { aim(r, 1); }
         giveUp(r);
     }
