A full server is load only where the session finds no other

At fault: Choice.retry counted each 'full' as fully late before the session was tried elsewhere, where it was mostly served at once, and the limit of open sessions fell. Now giveUp counts it, for a session that no server took.

--- a/src/main/java/calicochute/decision/Choice.java
+++ b/src/main/java/calicochute/decision/Choice.java
@@ -182,8 +182,6 @@
     }
 
     private void retry(Request r, Outcome outcome) {
-        // DANGER: full tables answer nothing: overload looks like rest. A failed connect tells no load.
-        if (outcome == Outcome.FULL) { aim(r, 1); }
         if (now < r.deadline && retryTokens >= 1) {
             retryTokens -= 1;
             dispatch(r);
@@ -204,6 +202,8 @@
     }
 
     private void giveUp(Request r) {
+        // DANGER: full tables answer nothing: overload looks like rest. One of many is no overload.
+        if (r.sent > 0 && r.firstThatMayHaveRun() == null) { aim(r, 1); }
         // DANGER: what overwhelms lasts for seconds; a client back sooner is served in place of a first try.
         long away = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
         if (mayRefuse(r)) { actions.refuse(r.id, away); } else { actions.fail(r.id); }
--- a/src/test/java/calicochute/decision/MechanismTest.java
+++ b/src/test/java/calicochute/decision/MechanismTest.java
@@ -349,6 +349,25 @@
         assertEquals(sent + 30, f.sent.size());
     }
 
+    /** Servers that turn sessions away while another one takes them at once are no overload. */
+    @Test
+    void aFullServerBesideAFreeOneIsNoLoad() {
+        Fixture f = Fixture.of(Effect.ONCE, KeyScope.ALL).list(fleet(4));
+        for (int i = 0; i < 106; i++) {
+            f.arrive(nextRequest++, 4 * SECOND);
+            f.now += 100_000;
+            for (int full = 0; full < 2 && i >= 100; full++) {
+                f.outcome(full, Outcome.FULL, 300);
+            }
+            f.outcome(i < 100 ? 0 : 2, Outcome.OK, 100_000);
+        }
+        int sent = f.sent.size();
+        for (int i = 0; i < 30; i++) {
+            f.arrive(nextRequest++, 4 * SECOND);
+        }
+        assertEquals(sent + 30, f.sent.size());
+    }
+
     /** DANGER: a healthy answer may take much of its aim; refusing would not make it faster, only fewer. */
     @Test
     void steadyAnswersNearTheAimAreNoOverload() {
