Noise behind an answer is not taken for a server that ends its connections

At fault: AnswerGuard ends a connection for what came behind an answer, and BackendServers took that, and a spoilt answer on a kept connection, for the server's doing. Now only what the server ended counts, and a call that fails within 20 ms.

--- a/src/main/java/calicochute/backend/BackendServers.java
+++ b/src/main/java/calicochute/backend/BackendServers.java
@@ -34,6 +34,8 @@
     private static final long FRESH = 2_000;
     /** How long no connections are kept for a server that ended one early. */
     private static final long WARY = 20_000_000;
+    /** A call on an ended connection fails within a round trip; a later failure is one of the answer. */
+    private static final long AT_ONCE = 20_000;
     private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
@@ -220,6 +222,7 @@
         private DecisionQueue.Alarm timeout;
         private DecisionQueue.Alarm connecting;
         private boolean called;
+        private long calledAt;
         private boolean ended;
 
         Errand(BackendServer server, HttpRequest request, byte[] body, Ending ending) {
@@ -262,7 +265,7 @@
             BackendServer at = server;
             Consumer<Connection> closed = c -> queue.post(() -> {
                 connections.remove(one);
-                if (at.idle.removeIf(i -> i.connection() == c)) {
+                if (at.idle.removeIf(i -> i.connection() == c) && !c.spoilt()) {
                     endedEarly(at);
                 }
             });
@@ -300,6 +303,7 @@
 
         private void call(boolean reused) {
             called = true;
+            calledAt = queue.now();
             connection.call(request, body, Bounds.BODY, reply -> queue.post(() -> replied(reply, reused)));
         }
 
@@ -314,7 +318,7 @@
                 begin();
                 return;
             }
-            if (reused && reply.response() == null) {
+            if (reused && reply.response() == null && queue.now() < calledAt + AT_ONCE) {
                 // It may have been ended before this call was written.
                 endedEarly(server);
             }
--- a/src/main/java/calicochute/connection/AnswerGuard.java
+++ b/src/main/java/calicochute/connection/AnswerGuard.java
@@ -28,6 +28,7 @@
     public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
         // Guards against a copy or noise behind an answer: it would be read as the answer to the next call.
         if (buffer.hasData() && !connection.awaitsAnswer()) {
+            connection.spoil();
             throw new ProtocolException("bytes that no call awaits");
         }
         HttpResponse response = parser.parse(buffer, endOfStream);
--- a/src/main/java/calicochute/connection/Connection.java
+++ b/src/main/java/calicochute/connection/Connection.java
@@ -16,6 +16,7 @@
     private volatile IOSession session;
     private volatile boolean closed;
     private volatile boolean awaitsAnswer;
+    private volatile boolean spoilt;
 
     Connection(Consumer<Connection> onClosed) {
         this.onClosed = onClosed;
@@ -54,6 +55,16 @@
         awaitsAnswer = false;
     }
 
+    /** Something came on it that belongs to no call: this side ends it. */
+    void spoil() {
+        spoilt = true;
+    }
+
+    /** True if it ended because of what came on it, and not because its server ended it. */
+    public boolean spoilt() {
+        return spoilt;
+    }
+
     public void close() {
         closed = true;
         IOSession open = session;
--- a/src/test/java/calicochute/process/BadServerTest.java
+++ b/src/test/java/calicochute/process/BadServerTest.java
@@ -82,6 +82,7 @@
             assertEquals("next", new String(order(GOOD.replace("a map", "next").replace(": 5", ": 4")).body(),
                 StandardCharsets.US_ASCII));
         }
+        assertEquals("the program ended them, not the server", 0, program.counter("connections_ended_early"));
     }
 
     /** A 4xx is the client's, passed on and not repeated; but a deny may not follow what may have run. */
