--- a/balancer/src/main/java/calicochute/cli/CheckCommand.java
+++ b/balancer/src/main/java/calicochute/cli/CheckCommand.java
@@ -6,7 +6,7 @@
 
 /** Reads a configuration as serve would and says what it found. */
 @Parameters(commandDescription = "Check a configuration without serving")
-final class CheckCommand implements Main.Command {
+final class CheckCommand implements CommandLine.Command {
     @ParametersDelegate
     private final ConfigurationOption configuration = new ConfigurationOption();
 
--- a/balancer/src/main/java/calicochute/cli/Main.java
+++ b/balancer/src/main/java/calicochute/cli/Main.java
@@ -1,46 +1,21 @@
 package calicochute.cli;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
-import java.util.LinkedHashMap;
-import java.util.Map;
-
-/** Command line entry: picks the sub-command. */
+/** Command line entry of the balancer: its sub-commands. */
 public final class Main {
     private Main() {
     }
 
-    /** One sub-command; what it throws ends the program with a plain message. */
-    interface Command {
-        void run() throws Exception;
-    }
-
     public static void main(String[] args) {
-        Map<String, Command> commands = new LinkedHashMap<>();
-        commands.put("serve", new ServeCommand());
-        commands.put("wirehost", new WireHostCommand());
-        commands.put("check", new CheckCommand());
-        commands.put("rehearse", new RehearseCommand());
-        commands.put("version", new VersionCommand());
-        JCommander.Builder builder = JCommander.newBuilder().programName("calicochute");
-        commands.forEach(builder::addCommand);
-        JCommander parser = builder.build();
-        try {
-            parser.parse(args);
-            if (parser.getParsedCommand() == null) {
-                throw new ParameterException("no command given");
-            }
-        } catch (ParameterException e) {
-            StringBuilder usage = new StringBuilder();
-            parser.getUsageFormatter().usage(usage);
-            System.err.println("calicochute: " + e.getMessage() + "\n" + usage);
-            System.exit(2);
-        }
-        try {
-            commands.get(parser.getParsedCommand()).run();
-        } catch (Exception e) {
-            System.err.println("calicochute: " + (e.getMessage() == null ? e : e.getMessage()));
-            System.exit(1);
+        int status = new CommandLine("calicochute")
+            .command("serve", new ServeCommand())
+            .command("wirehost", new WireHostCommand())
+            .command("check", new CheckCommand())
+            .command("rehearse", new RehearseCommand())
+            .command("version", new VersionCommand())
+            .run(args);
+        // A command that goes on in threads of its own has returned by now: only a failure ends the program here.
+        if (status != CommandLine.DONE) {
+            System.exit(status);
         }
     }
 }
--- a/balancer/src/main/java/calicochute/cli/RehearseCommand.java
+++ b/balancer/src/main/java/calicochute/cli/RehearseCommand.java
@@ -20,7 +20,7 @@
  * it to find out which classes a start needs, for the class archive.
  */
 @Parameters(commandDescription = "Run each part once against itself on loopback, and end (the build's class archive)")
-final class RehearseCommand implements Main.Command {
+final class RehearseCommand implements CommandLine.Command {
     private static final String CONFIGURATION = """
         {"name":"rehearsal","listen":"%1$s","discovery":"%1$s","seed":"1","known":{"generation":1,"reset":true,
         "instances":[{"instanceId":"self","hostPort":"%1$s","zone":"z","lifecycle":"Ready"}]},
--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -12,7 +12,7 @@
 
 /** Runs one real balancer until it is told to stop. */
 @Parameters(commandDescription = "Run one balancer on real sockets")
-final class ServeCommand implements Main.Command {
+final class ServeCommand implements CommandLine.Command {
     @ParametersDelegate
     private final ConfigurationOption configuration = new ConfigurationOption();
 
--- a/balancer/src/main/java/calicochute/cli/VersionCommand.java
+++ b/balancer/src/main/java/calicochute/cli/VersionCommand.java
@@ -4,7 +4,7 @@
 
 /** Prints the version in the jar's manifest. */
 @Parameters(commandDescription = "Print the version")
-final class VersionCommand implements Main.Command {
+final class VersionCommand implements CommandLine.Command {
     @Override
     public void run() {
         String version = Main.class.getPackage().getImplementationVersion();
--- a/balancer/src/main/java/calicochute/cli/WireHostCommand.java
+++ b/balancer/src/main/java/calicochute/cli/WireHostCommand.java
@@ -13,7 +13,7 @@
 
 /** Speaks the simulator's wire on standard input and output. */
 @Parameters(commandDescription = "Host the decision module on the simulator's wire, on standard input and output")
-final class WireHostCommand implements Main.Command {
+final class WireHostCommand implements CommandLine.Command {
     @Override
     public void run() throws IOException, WireException {
         OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/emulator/BalancerHost.java
@@ -0,0 +1,206 @@
+package calicochute.lab.emulator;
+
+import calicochute.lab.plan.BalancerSpec;
+import calicochute.lab.socket.HttpMessage;
+import calicochute.lab.socket.Link;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * One balancer as a real process: started by the command that the deployment names, from the folder it expects, with a
+ * configuration file, the limits, and a log file of its own. Its CPU and memory are sampled from /proc.
+ */
+final class BalancerHost {
+    private static final long POLL = 25_000;
+    private static final long START_LIMIT = 30_000_000;
+    private static final int TICKS_A_SECOND = 100;
+    private static final int PAGE = 4096;
+    private final Site site;
+    private final BalancerSpec spec;
+    private final Path folder;
+    private final Emulation.Balancers launch;
+    private final InetSocketAddress listen;
+    private final List<Sample> samples = new ArrayList<>();
+    private Process process;
+    private boolean ready;
+    private boolean ending;
+    private int starts;
+    private Consumer<BalancerHost> onReady = b -> { };
+    private Consumer<String> onCrash = why -> { };
+    private Runnable onEnded = () -> { };
+
+    /** CPU seconds used since the run's first start, and resident memory in bytes. */
+    record Sample(long at, double cpuSeconds, long resident) {
+    }
+
+    /** Writes its configuration; asked anew for each start. */
+    interface Configurer {
+        String configuration(BalancerSpec spec, InetSocketAddress listen, int start);
+    }
+
+    private final Configurer configurer;
+
+    BalancerHost(Site site, BalancerSpec spec, Path folder, Emulation.Balancers launch, Configurer configurer) throws IOException {
+        this.site = site;
+        this.spec = spec;
+        this.folder = folder;
+        this.launch = launch;
+        this.configurer = configurer;
+        java.net.InetAddress host = site.nextAddress();
+        try (ServerSocket free = new ServerSocket(0, 1, host)) {
+            listen = new InetSocketAddress(host, free.getLocalPort());
+        }
+    }
+
+    BalancerSpec spec() {
+        return spec;
+    }
+
+    InetSocketAddress address() {
+        return listen;
+    }
+
+    boolean ready() {
+        return ready;
+    }
+
+    List<Sample> samples() {
+        return samples;
+    }
+
+    void listeners(Consumer<BalancerHost> readyAgain, Consumer<String> crashed) {
+        onReady = readyAgain;
+        onCrash = crashed;
+    }
+
+    /** Starts the process; {@code onReady} hears once /ready has said 200. On the world's thread. */
+    void start() {
+        starts++;
+        ending = false;
+        try {
+            Path config = folder.resolve(spec.name() + ".json");
+            Files.writeString(config, configurer.configuration(spec, listen, starts));
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n "
+                + site.scenario.balancers().descriptors() + "\n" + launch.command());
+            builder.directory(launch.folder().toFile());
+            builder.environment().put("PROXY_NAME", spec.name());
+            builder.environment().put("PROXY_LISTEN", Site.text(listen));
+            builder.environment().put("PROXY_CONFIG", config.toAbsolutePath().toString());
+            builder.redirectErrorStream(true);
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(spec.name() + ".log").toFile()));
+            Process started = builder.start();
+            process = started;
+            started.onExit().thenAccept(p -> site.world.post(() -> ended(started)));
+            long latest = site.world.now() + START_LIMIT;
+            site.world.after(POLL, () -> poll(started, latest));
+        } catch (IOException e) {
+            onCrash.accept(spec.name() + " can't be started: " + e.getMessage());
+        }
+    }
+
+    private void poll(Process of, long latest) {
+        if (of != process || ready || ending) {
+            return;
+        }
+        if (site.world.now() > latest) {
+            onCrash.accept(spec.name() + " was not ready within " + START_LIMIT / 1_000_000 + " s; see its log");
+            return;
+        }
+        site.sockets.connect(listen, POLL * 40, new Link.Owner() {
+            private void again(Link link) {
+                link.close();
+                site.world.after(POLL, () -> poll(of, latest));
+            }
+
+            @Override
+            public void message(Link link, HttpMessage message) {
+                if (message.status() == 200 && of == process && !ending) {
+                    link.close();
+                    ready = true;
+                    onReady.accept(BalancerHost.this);
+                } else {
+                    again(link);
+                }
+            }
+
+            @Override
+            public void unreadable(Link link, String why) {
+                again(link);
+            }
+
+            @Override
+            public void closed(Link link, boolean reset, boolean midway) {
+                again(link);
+            }
+        }, link -> link.write(HttpMessage.bytes("GET /ready HTTP/1.1", "Host: a\r\n", new byte[0])),
+            () -> site.world.after(POLL, () -> poll(of, latest)));
+    }
+
+    private void ended(Process which) {
+        if (which != process) {
+            return;
+        }
+        ready = false;
+        if (ending) {
+            onEnded.run();
+        } else {
+            onCrash.accept(spec.name() + " ended by itself with status " + which.exitValue() + "; see its log");
+        }
+    }
+
+    /** SIGTERM; {@code then} runs when the process has ended. */
+    void stop(Runnable then) {
+        ending = true;
+        onEnded = then;
+        process.destroy();
+    }
+
+    /** SIGKILL; what it held is gone. */
+    void kill(Runnable then) {
+        ending = true;
+        ready = false;
+        onEnded = then;
+        site.referee.killed(spec.name());
+        process.destroyForcibly();
+    }
+
+    /** From any thread: nothing of it is left behind. */
+    void destroy() {
+        Process last = process;
+        if (last != null) {
+            last.destroyForcibly();
+        }
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Reads CPU and memory of the process, if it runs. */
+    void sample() {
+        if (!alive()) {
+            return;
+        }
+        try {
+            Path proc = Path.of("/proc", Long.toString(process.pid()));
+            String stat = Files.readString(proc.resolve("stat"), StandardCharsets.US_ASCII);
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            double cpu = (Double.parseDouble(fields[11]) + Double.parseDouble(fields[12])) / TICKS_A_SECOND;
+            long resident = Long.parseLong(Files.readString(proc.resolve("statm")).split(" ")[1]) * PAGE;
+            samples.add(new Sample(site.world.now(), cpu, resident));
+        } catch (IOException e) {
+            // It has just ended.
+        }
+    }
+
+    Path log() {
+        return folder.resolve(spec.name() + ".log");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/emulator/Emulation.java
@@ -0,0 +1,296 @@
+package calicochute.lab.emulator;
+
+import calicochute.lab.chance.Streams;
+import calicochute.lab.emulator.Outcome.BalancerSample;
+import calicochute.lab.emulator.Outcome.ServerSample;
+import calicochute.lab.plan.Arrival;
+import calicochute.lab.plan.ArrivalPlan;
+import calicochute.lab.plan.BalancerSpec;
+import calicochute.lab.plan.Deployment;
+import calicochute.lab.plan.TroublePlan;
+import calicochute.lab.scenario.Scenario;
+import calicochute.lab.scenario.Scenario.RequestClass;
+import calicochute.lab.server.MachineSpec;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One run of a scenario: everything but the balancers on sockets in this process, the balancers as processes of their
+ * own. Prepared outside the world, then all of it happens on the world's thread.
+ */
+public final class Emulation {
+    /** A cold server falls over under more than this multiple of what it can do, within this span (microseconds). */
+    static final double FALL_MULTIPLE = 3;
+    static final long FALL_SPAN = 3_000_000;
+    /** What a request beyond its tenant's share is worth, as a part of its class's worth. */
+    public static final double OVER_SHARE_WORTH = 0.05;
+    private static final long SECOND = 1_000_000;
+    private static final long STOP_LIMIT_S = 15;
+    private static final Pattern COUNTERS = Pattern.compile("INFO counters (.*)");
+    private static final Pattern COUNTER = Pattern.compile("(\\w+) (\\d+)");
+    private final Scenario scenario;
+    private final long seed;
+    private final Path folder;
+    private final Streams streams;
+    private final Site site;
+    private final Progress progress;
+    private final List<Arrival> arrivals;
+    private final List<TroublePlan> troubles;
+    private final Map<String, ServerHost> servers = new LinkedHashMap<>();
+    private final Map<String, BalancerHost> balancers = new LinkedHashMap<>();
+    private final DiscoveryHost discovery;
+    private final ClientHost clients;
+    private final BadClients badClients;
+    private final Troubles troubleMaker;
+    private final List<ServerSample> serverSamples = new ArrayList<>();
+    private final Map<String, long[]> lastCounts = new HashMap<>();
+    private final CountDownLatch over = new CountDownLatch(1);
+    private volatile String ended;
+    private long startedAt;
+    private long cpuAtStart;
+    private long cpuAtEnd;
+    private long wallAtEnd;
+    private int awaited;
+    private boolean running;
+
+    /** Hears how a run goes, once a second. */
+    public interface Progress {
+        /** @param served worth served so far over worth asked for so far, of requests that have ended */
+        void second(double seconds, double length, long ended, double served, int open);
+    }
+
+    /** How balancers are started: a shell command, and the folder it is run in. */
+    public record Balancers(String command, Path folder) {
+    }
+
+    /** Draws the run from its seed and opens all of the emulator's sockets; {@code work} takes files and logs. */
+    public Emulation(Scenario scenario, long seed, Path work, Balancers start, Progress progress) throws IOException {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.folder = Files.createDirectories(work);
+        this.progress = progress;
+        streams = new Streams(seed);
+        Deployment deployment = Deployment.draw(scenario, streams);
+        arrivals = ArrivalPlan.draw(deployment, streams);
+        troubles = TroublePlan.draw(deployment, streams);
+        site = new Site(deployment, streams);
+        discovery = new DiscoveryHost(site, (server, zone) -> servers.get(server).address(zone));
+        clients = new ClientHost(site, root -> { });
+        badClients = new BadClients(site);
+        troubleMaker = new Troubles(site, servers, balancers, discovery, clients, badClients);
+        for (MachineSpec machine : deployment.machines()) {
+            ServerHost server = new ServerHost(site, machine, discovery::informed);
+            server.open();
+            servers.put(machine.id(), server);
+        }
+        discovery.open();
+        Settings settings = new Settings(site);
+        for (BalancerSpec spec : deployment.balancers()) {
+            balancers.put(spec.name(), new BalancerHost(site, spec, folder, start, (s, listen, n) ->
+                settings.configuration(s, listen, discovery.at(s), streams.of("balancer " + s.name(), n).nextLong(),
+                    discovery.known(s))));
+        }
+    }
+
+    /** Runs to the end and returns what it brought; nothing is left behind, whatever happens. */
+    public Outcome run() throws InterruptedException {
+        try {
+            site.world.start();
+            site.world.post(this::startBalancers);
+            while (!over.await(200, TimeUnit.MILLISECONDS)) {
+                if (site.world.fault() != null) {
+                    StackTraceElement[] trace = site.world.fault().getStackTrace();
+                    ended = "the lab itself failed: " + site.world.fault()
+                        + (trace.length > 0 ? " at " + trace[0] : "");
+                    break;
+                }
+            }
+            if (ended == null) {
+                stopBalancers();
+            }
+            site.world.stop();
+            site.world.join(5000);
+            return outcome();
+        } finally {
+            destroy();
+            site.sockets.close();
+        }
+    }
+
+    /** Ends the run at once, from any thread; {@link #run} then returns what there is. */
+    public void abort(String why) {
+        if (ended == null) {
+            ended = why;
+        }
+        over.countDown();
+    }
+
+    /** Leaves no process behind; from any thread. */
+    public void destroy() {
+        balancers.values().forEach(BalancerHost::destroy);
+    }
+
+    private void startBalancers() {
+        awaited = balancers.size();
+        troubleMaker.onCrash(this::crashed);
+        for (BalancerHost balancer : balancers.values()) {
+            balancer.listeners(this::firstReady, this::crashed);
+            balancer.start();
+        }
+    }
+
+    private void crashed(String why) {
+        abort(why);
+    }
+
+    private void firstReady(BalancerHost balancer) {
+        balancer.listeners(this::readyAgain, this::crashed);
+        readyAgain(balancer);
+        if (--awaited == 0) {
+            site.world.after(scenario.settle().micros(), this::begin);
+        }
+    }
+
+    private void readyAgain(BalancerHost balancer) {
+        if (balancer.spec().owner() == null) {
+            clients.takeIn(balancer);
+        } else {
+            servers.get(balancer.spec().owner()).callsThrough(
+                new Caller(site, balancer.spec(), balancer.address(), 0, Integer.MAX_VALUE));
+        }
+    }
+
+    private void begin() {
+        startedAt = site.world.now();
+        running = true;
+        site.world.resetLateness();
+        cpuAtStart = cpu();
+        servers.values().forEach(ServerHost::begin);
+        clients.send(arrivals, startedAt);
+        troubleMaker.schedule(troubles, startedAt);
+        sample();
+        site.world.every(SECOND, this::sample);
+        long longest = scenario.classes().stream().map(RequestClass::giveUp).mapToLong(t -> t.micros()).max()
+            .orElse(0);
+        long length = scenario.length().micros();
+        site.world.at(startedAt + length, () -> awaitEnd(startedAt + length + longest + SECOND));
+    }
+
+    /** After the last arrival the run goes on until all is answered. */
+    private void awaitEnd(long latest) {
+        if (clients.open() == 0 || site.world.now() > latest) {
+            running = false;
+            cpuAtEnd = cpu();
+            wallAtEnd = site.world.now();
+            over.countDown();
+        } else {
+            site.world.after(SECOND / 20, () -> awaitEnd(latest));
+        }
+    }
+
+    private static long cpu() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+            .getProcessCpuTime();
+    }
+
+    private void sample() {
+        if (!running) {
+            return;
+        }
+        long at = site.world.now() - startedAt;
+        for (ServerHost server : servers.values()) {
+            long[] last = lastCounts.computeIfAbsent(server.spec().id(), s -> new long[2]);
+            serverSamples.add(new ServerSample(at, server.spec().id(), server.spec().tier(), server.model().inWork(),
+                server.model().inQueue(), server.dispatches() - last[0], server.turnedAway() - last[1],
+                server.up() ? server.model().capacityShare(site.world.now()) : 0, server.model().sluggish()));
+            last[0] = server.dispatches();
+            last[1] = server.turnedAway();
+        }
+        balancers.values().forEach(BalancerHost::sample);
+        double asked = 0;
+        double served = 0;
+        long done = 0;
+        for (Root root : clients.roots()) {
+            if (root.end != Root.End.OPEN) {
+                double worth = worth(scenario, root);
+                done++;
+                asked += worth;
+                served += root.end == Root.End.SERVED ? worth : 0;
+            }
+        }
+        progress.second(at / 1e6, scenario.length().seconds(), done, asked == 0 ? 1 : served / asked, clients.open());
+    }
+
+    /** What a request is worth: its class's worth for each unit of work, little beyond its tenant's share. */
+    public static double worth(Scenario scenario, Root root) {
+        RequestClass c = scenario.classes().get(root.arrival.classIndex());
+        return c.worth() * root.arrival.work() * (root.arrival.overShare() ? OVER_SHARE_WORTH : 1);
+    }
+
+    /** A planned stop of all; a balancer that does not end or ends wrongly has failed. */
+    private void stopBalancers() throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(balancers.size());
+        site.world.post(() -> balancers.values().forEach(b -> b.stop(stopped::countDown)));
+        if (!stopped.await(STOP_LIMIT_S, TimeUnit.SECONDS)) {
+            ended = stopped.getCount() + " balancers did not end within " + STOP_LIMIT_S + " s of SIGTERM";
+        }
+    }
+
+    private Outcome outcome() {
+        Map<BalancerSpec, List<BalancerSample>> usage = new LinkedHashMap<>();
+        Map<BalancerSpec, Map<String, Long>> counters = new LinkedHashMap<>();
+        for (BalancerHost balancer : balancers.values()) {
+            List<BalancerSample> samples = new ArrayList<>();
+            BalancerHost.Sample last = null;
+            for (BalancerHost.Sample s : balancer.samples()) {
+                // A restarted process counts from nothing.
+                if (last != null && s.at() > last.at() && s.cpuSeconds() >= last.cpuSeconds()) {
+                    samples.add(new BalancerSample(s.at() - startedAt,
+                        (s.cpuSeconds() - last.cpuSeconds()) * 1e6 / (s.at() - last.at()), s.resident()));
+                }
+                last = s;
+            }
+            usage.put(balancer.spec(), samples);
+            counters.put(balancer.spec(), counters(balancer.log()));
+        }
+        double wall = wallAtEnd > startedAt ? wallAtEnd - startedAt : site.world.now() - startedAt;
+        double labCpu = startedAt == 0 ? 0 : ((cpuAtEnd == 0 ? cpu() : cpuAtEnd) - cpuAtStart) / 1e3 / wall;
+        long probes = counters.values().stream().mapToLong(c -> c.getOrDefault("probes_sent", 0L)).sum();
+        var late = site.world.lateness();
+        return new Outcome(site.deployment, seed, ended, startedAt, scenario.length().micros(),
+            List.copyOf(clients.roots()), troubles, serverSamples, usage, counters, site.referee.verdict(),
+            new long[] {late.getValueAtPercentile(50), late.getValueAtPercentile(99), late.getMaxValue()}, labCpu,
+            probes, site.referee.dispatches(), servers.values().stream().mapToLong(ServerHost::crossings).sum(),
+            new Outcome.BadClientCount(badClients.sent(), badClients.neglected(), badClients.served()));
+    }
+
+    /** The counters that a balancer printed at its ends, summed over its starts; none where it was killed. */
+    private static Map<String, Long> counters(Path log) {
+        Map<String, Long> sums = new LinkedHashMap<>();
+        try {
+            if (Files.exists(log)) {
+                Matcher lines = COUNTERS.matcher(Files.readString(log));
+                while (lines.find()) {
+                    Matcher one = COUNTER.matcher(lines.group(1));
+                    while (one.find()) {
+                        sums.merge(one.group(1), Long.parseLong(one.group(2)), Long::sum);
+                    }
+                }
+            }
+        } catch (IOException e) {
+            return Map.of();
+        }
+        return sums;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/experiment/Variant.java
@@ -0,0 +1,59 @@
+package calicochute.lab.experiment;
+
+import calicochute.lab.result.RunFolder;
+import calicochute.lab.result.RunResult;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/** One side of a comparison: the runs in a folder. {@code skipped} of them don't count (partial or void). */
+public record Variant(String name, List<RunResult> runs, int skipped) {
+    /** The run that a folder is, or the runs in the folders right in it. */
+    public static Variant read(Path folder) throws IOException {
+        List<Path> folders = new ArrayList<>();
+        if (Files.isRegularFile(folder.resolve("result.json"))) {
+            folders.add(folder);
+        } else if (Files.isDirectory(folder)) {
+            try (Stream<Path> inside = Files.list(folder)) {
+                inside.filter(f -> Files.isRegularFile(f.resolve("result.json"))).sorted().forEach(folders::add);
+            }
+        }
+        if (folders.isEmpty()) {
+            throw new IOException(folder + ": holds no result of a run");
+        }
+        List<RunResult> runs = new ArrayList<>();
+        int skipped = 0;
+        for (Path one : folders) {
+            RunResult run = RunFolder.read(one);
+            if (run.counts()) {
+                runs.add(run);
+            } else {
+                skipped++;
+            }
+        }
+        if (runs.isEmpty()) {
+            throw new IOException(folder + ": none of its " + skipped + " runs counts");
+        }
+        return new Variant(folder.toString(), runs, skipped);
+    }
+
+    /** Figures by seed. */
+    public Map<Long, List<Map<String, Double>>> bySeed() {
+        Map<Long, List<Map<String, Double>>> seeds = new TreeMap<>();
+        runs.forEach(r -> seeds.computeIfAbsent(r.seed(), s -> new ArrayList<>()).add(r.figures()));
+        return seeds;
+    }
+
+    public Map<String, Double> means() {
+        Map<String, Double> means = new LinkedHashMap<>();
+        runs.get(0).figures().keySet().forEach(f -> means.put(f, runs.stream().mapToDouble(r ->
+            r.figures().getOrDefault(f, Double.NaN)).average().orElse(Double.NaN)));
+        return means;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/plan/TroublePlan.java
@@ -0,0 +1,53 @@
+package calicochute.lab.plan;
+
+import calicochute.lab.chance.Streams;
+import calicochute.lab.scenario.Scenario;
+import calicochute.lab.scenario.Trouble;
+import calicochute.lab.server.MachineSpec;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+
+/** Which machines or balancers each trouble hits, drawn from the seed; both ends in microseconds from the run's start. */
+public record TroublePlan(Trouble trouble, int number, long from, long to, List<String> victims) {
+    public static List<TroublePlan> draw(Deployment deployment, Streams streams) {
+        Scenario scenario = deployment.scenario();
+        List<TroublePlan> plans = new ArrayList<>();
+        for (int i = 0; i < scenario.troubles().size(); i++) {
+            Trouble trouble = scenario.troubles().get(i);
+            UniformRandomProvider draw = streams.of("trouble", i);
+            List<String> victims = switch (trouble.kind().target) {
+                case SERVERS -> servers(deployment, trouble, draw);
+                case BALANCERS -> some(deployment.balancers().stream().filter(b -> b.tier() == 0)
+                    .map(BalancerSpec::name).toList(), trouble.balancers(), draw);
+                case ZONE -> List.of(trouble.zone());
+                case CLIENTS, DISCOVERY -> List.of();
+            };
+            plans.add(new TroublePlan(trouble, i, trouble.at().micros(), end(trouble, victims.size()), victims));
+        }
+        return plans;
+    }
+
+    private static long end(Trouble trouble, int victims) {
+        long steps = trouble.kind() == Trouble.Kind.DRAIN ? trouble.every().micros() * Math.max(0, victims - 1) : 0;
+        return trouble.at().micros() + steps + trouble.lasts().micros();
+    }
+
+    private static List<String> servers(Deployment deployment, Trouble trouble, UniformRandomProvider draw) {
+        int tier = 0;
+        while (!deployment.scenario().tiers().get(tier).name().equals(trouble.tier())) {
+            tier++;
+        }
+        List<String> ids = deployment.machines(tier).stream().map(MachineSpec::id).toList();
+        int count = trouble.servers() != null ? trouble.servers()
+            : (int) Math.max(1, Math.round(trouble.part() * ids.size()));
+        return some(ids, Math.min(count, ids.size()), draw);
+    }
+
+    private static List<String> some(List<String> of, int count, UniformRandomProvider draw) {
+        List<String> mixed = new ArrayList<>(of);
+        ListSampler.shuffle(draw, mixed);
+        return List.copyOf(mixed.subList(0, count));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/result/RunFolder.java
@@ -0,0 +1,79 @@
+package calicochute.lab.result;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.io.Writer;
+import java.lang.reflect.RecordComponent;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+
+/** A run's folder: result.json, a CSV table for each list in it, and scenario.yaml. The report is drawn from these. */
+public final class RunFolder {
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    private static final String RESULT = "result.json";
+
+    private RunFolder() {
+    }
+
+    public static void write(Path folder, RunResult result, String scenario) throws IOException {
+        Files.createDirectories(folder);
+        JSON.writeValue(folder.resolve(RESULT).toFile(), result);
+        Files.writeString(folder.resolve("scenario.yaml"), scenario);
+        table(folder.resolve("seconds.csv"), RunResult.Second.class, result.seconds());
+        table(folder.resolve("latencies.csv"), RunResult.Latency.class, result.latencies());
+        table(folder.resolve("servers.csv"), RunResult.ServerSecond.class, result.servers());
+        table(folder.resolve("balancers.csv"), RunResult.BalancerSecond.class, result.balancers());
+        table(folder.resolve("dispatches.csv"), RunResult.Dispatches.class, result.dispatches());
+        table(folder.resolve("breaches.csv"), RunResult.BreachLine.class, result.breaches());
+        try (CSVPrinter csv = printer(folder.resolve("figures.csv"), "figure", "value")) {
+            for (var figure : result.figures().entrySet()) {
+                csv.printRecord(figure.getKey(), figure.getValue());
+            }
+        }
+    }
+
+    /** Reads a run's result; the complaint names the file. */
+    public static RunResult read(Path folder) throws IOException {
+        Path file = folder.resolve(RESULT);
+        if (!Files.isRegularFile(file)) {
+            throw new IOException(folder + ": holds no result (" + RESULT + " is missing)");
+        }
+        try {
+            RunResult result = JSON.readValue(file.toFile(), RunResult.class);
+            if (result.version() != RunResult.VERSION) {
+                throw new IOException(file + ": version " + result.version() + " is not " + RunResult.VERSION);
+            }
+            return result;
+        } catch (JacksonException e) {
+            throw new IOException(file + ":" + (e.getLocation() == null ? "" : e.getLocation().getLineNr() + ":")
+                + " is no result of a run: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static CSVPrinter printer(Path file, String... header) throws IOException {
+        Writer out = Files.newBufferedWriter(file);
+        return CSVFormat.RFC4180.builder().setHeader(header).get().print(out);
+    }
+
+    /** A table of records: a column for each component. */
+    private static <T extends Record> void table(Path file, Class<T> type, List<T> rows) throws IOException {
+        RecordComponent[] columns = type.getRecordComponents();
+        try (CSVPrinter csv = printer(file, Arrays.stream(columns).map(RecordComponent::getName)
+            .toArray(String[]::new))) {
+            for (T row : rows) {
+                for (RecordComponent column : columns) {
+                    csv.print(column.getAccessor().invoke(row));
+                }
+                csv.println();
+            }
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/server/ColdBudget.java
@@ -0,0 +1,52 @@
+package calicochute.lab.server;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * What a cold machine can be sent before it falls over: within any span, no more work than a multiple of what it can do
+ * at that moment in such a span. All work that reaches it counts, also what it turns away. A model without I/O; times and
+ * work in microseconds.
+ */
+public final class ColdBudget {
+    private final double multiple;
+    private final long span;
+    private final Deque<Sent> window = new ArrayDeque<>();
+    private double sum;
+    private double informed;
+
+    private record Sent(long at, double work, boolean informed) {
+    }
+
+    public ColdBudget(double multiple, long span) {
+        this.multiple = multiple;
+        this.span = span;
+    }
+
+    /**
+     * Counts work that has come, from a balancer that had been told of the start or not; true if it is too much for a
+     * machine that now does {@code capacity} microseconds of work in a microsecond.
+     */
+    public boolean add(long now, double work, boolean fromInformed, double capacity) {
+        window.add(new Sent(now, work, fromInformed));
+        sum += work;
+        informed += fromInformed ? work : 0;
+        while (window.peek().at < now - span) {
+            Sent old = window.poll();
+            sum -= old.work;
+            informed -= old.informed ? old.work : 0;
+        }
+        return sum > multiple * capacity * span;
+    }
+
+    /** The part of the work in the span that balancers sent who knew. */
+    public double informedShare() {
+        return sum <= 0 ? 0 : informed / sum;
+    }
+
+    public void clear() {
+        window.clear();
+        sum = 0;
+        informed = 0;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/calicochute/lab/plan/PlanTest.java
@@ -0,0 +1,96 @@
+package calicochute.lab.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicochute.lab.chance.Streams;
+import calicochute.lab.scenario.Scenario;
+import calicochute.lab.scenario.ScenarioReader;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class PlanTest {
+    private static final String JUMP = "  - {kind: jump, at: 5s, lasts: 5s, factor: 3}\n";
+
+    private static Scenario scenario(String more) throws Exception {
+        try (InputStream in = PlanTest.class.getResourceAsStream("/calicochute/lab/full.yaml")) {
+            return ScenarioReader.parse("s", new String(in.readAllBytes(), StandardCharsets.UTF_8) + more);
+        }
+    }
+
+    private static List<Arrival> arrivals(Scenario scenario, long seed) {
+        Streams streams = new Streams(seed);
+        return ArrivalPlan.draw(Deployment.draw(scenario, streams), streams);
+    }
+
+    @Test
+    void theSameSeedDrawsTheSameRun() throws Exception {
+        Scenario scenario = scenario("");
+        assertEquals(arrivals(scenario, 7).toString(), arrivals(scenario, 7).toString());
+        assertNotEquals(arrivals(scenario, 7).toString(), arrivals(scenario, 8).toString());
+        assertEquals(Deployment.draw(scenario, new Streams(7)), Deployment.draw(scenario, new Streams(7)));
+    }
+
+    /** Guards against a trouble that, by shifting the other draws, makes two runs that can't be compared. */
+    @Test
+    void aTroubleShiftsNoOtherDraw() throws Exception {
+        Set<String> usual = keys(arrivals(scenario(""), 7));
+        Set<String> withJump = keys(arrivals(scenario(JUMP), 7));
+        assertTrue(withJump.containsAll(usual));
+        assertTrue(withJump.size() > usual.size());
+        Deployment deployment = Deployment.draw(scenario(JUMP), new Streams(7));
+        List<TroublePlan> more = TroublePlan.draw(deployment, new Streams(7));
+        List<TroublePlan> fewer = TroublePlan.draw(Deployment.draw(scenario(""), new Streams(7)), new Streams(7));
+        assertEquals(fewer, more.subList(0, fewer.size()));
+    }
+
+    private static Set<String> keys(List<Arrival> arrivals) {
+        return arrivals.stream().map(a -> a.at() + " " + a.classIndex() + " " + a.tenant() + " " + a.work() + " "
+            + a.patience()).collect(Collectors.toSet());
+    }
+
+    @Test
+    void arrivalsComeAtTheRateAndInTheShares() throws Exception {
+        Scenario scenario = scenario("");
+        Deployment deployment = Deployment.draw(scenario, new Streams(1));
+        int count = 0;
+        double work = 0;
+        int views = 0;
+        int runs = 20;
+        for (int seed = 0; seed < runs; seed++) {
+            Streams streams = new Streams(seed);
+            for (Arrival a : ArrivalPlan.draw(deployment, streams)) {
+                count++;
+                work += a.work();
+                views += a.classIndex() == 0 ? 1 : 0;
+            }
+        }
+        // 20 s of a 25 s wave: its mean there is 1 + 0.2 * (1 - cos(1.6 pi)) / (1.6 pi).
+        double wave = 1 + 0.2 * (1 - Math.cos(1.6 * Math.PI)) / (1.6 * Math.PI);
+        assertEquals(1, count / (runs * 20 * deployment.ratePerSecond() * wave), 0.03);
+        assertEquals(0.5, views / (double) count, 0.02);
+        assertEquals(1, work / count / deployment.meanWork(), 0.05);
+    }
+
+    @Test
+    void everyCallingServerHasItsBalancer() throws Exception {
+        Deployment deployment = Deployment.draw(scenario(""), new Streams(3));
+        assertEquals(3 + 4, deployment.balancers().size());
+        List<String> owners = new ArrayList<>(deployment.balancers().stream().filter(b -> b.tier() == 1)
+            .map(BalancerSpec::owner).toList());
+        assertEquals(deployment.machines(0).stream().map(m -> m.id()).toList(), owners);
+    }
+
+    @Test
+    void victimsOfARollingDrainEndOneAfterAnother() throws Exception {
+        TroublePlan drain = TroublePlan.draw(Deployment.draw(scenario(""), new Streams(3)), new Streams(3)).get(4);
+        assertEquals(2, drain.victims().size());
+        assertEquals(2_000_000 + 5_000_000, drain.to() - drain.from());
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/calicochute/lab/process/LabCommandTest.java
@@ -0,0 +1,133 @@
+package calicochute.lab.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import calicochute.lab.result.RunFolder;
+import calicochute.lab.result.RunResult;
+import java.io.File;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** The lab's command line as a process. */
+public class LabCommandTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    private static final String SCENARIO = """
+        version: 1
+        title: One tier
+        shows: the command line
+        length: LENGTH
+        settle: 50ms
+        classes: [{name: view, share: 1, effect: repeatable, work: 10ms, aim: 900ms, giveUp: 1s}]
+        tenants: [{name: t, share: 1}]
+        tiers: [{name: only, servers: 3, work: 1, kinds: [{name: k, slots: 4}]}]
+        load: {rate: 60/s}
+        balancers: {count: 1}
+        """;
+    private File output;
+
+    private Process start(String... arguments) throws Exception {
+        output = folder.newFile();
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            "calicochute.lab.cli.LabMain"));
+        command.addAll(List.of(arguments));
+        return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start();
+    }
+
+    private int run(String... arguments) throws Exception {
+        Process process = start(arguments);
+        assertTrue("did not end", process.waitFor(60, TimeUnit.SECONDS));
+        return process.exitValue();
+    }
+
+    private String output() throws Exception {
+        return Files.readString(output.toPath());
+    }
+
+    private Path scenario(String length) throws Exception {
+        Path file = folder.newFile().toPath();
+        Files.writeString(file, SCENARIO.replace("LENGTH", length));
+        return file;
+    }
+
+    @Test
+    public void helpAtEveryLevelAndWrongUsage() throws Exception {
+        assertEquals(0, run("lab", "--help"));
+        assertTrue(output(), output().contains("sweep"));
+        assertEquals(0, run("lab", "run", "--help"));
+        assertTrue(output(), output().contains("--balancer-command") && !output().contains("--times"));
+        assertEquals(2, run("lab"));
+        assertEquals(2, run("lab", "frobnicate"));
+        assertEquals(2, run("demo", "--seconds", "1"));
+        assertEquals(2, run("lab", "run"));
+    }
+
+    @Test
+    public void aBadScenarioIsRefusedWithItsLine() throws Exception {
+        Path file = scenario("3");
+        assertEquals(1, run("lab", "run", file.toString()));
+        assertTrue(output(), output().contains(file + ":4: length: ") && output().contains("750ms"));
+    }
+
+    /** run, replay, compare, sweep and report over one small scenario. */
+    @Test
+    public void anExperimentFromRunToComparison() throws Exception {
+        Path file = scenario("1s");
+        Path out = folder.newFolder().toPath();
+        String command = RefereeCatchesTest.command("good");
+        // Whether a run counts depends on how late a shared machine lets the lab's timers run.
+        int ran = run("lab", "run", file.toString(), "--out", out + "/a", "--seed", "3", "--balancer-command", command);
+        RunResult result = RunFolder.read(out.resolve("a"));
+        assertEquals(output(), result.counts() ? 0 : 1, ran);
+        assertEquals(3, result.seed());
+        assertEquals(List.of(), result.breaches());
+        assertTrue(result.figures().get("requests") > 30);
+        for (String table : List.of("seconds", "servers", "balancers", "latencies", "figures", "dispatches")) {
+            assertTrue(table, Files.readAllLines(out.resolve("a/" + table + ".csv")).size() > 1);
+        }
+        String page = Files.readString(out.resolve("a/report.html"));
+        assertTrue(page.contains("<svg") && page.contains("All rules were kept") && !page.contains("src="));
+        Files.delete(out.resolve("a/report.html"));
+        assertEquals(0, run("lab", "report", out + "/a"));
+        assertTrue(Files.exists(out.resolve("a/report.html")));
+        run("lab", "replay", out + "/a", "--times", "2", "--balancer-command", command);
+        assertEquals(result.figures().get("requests"),
+            RunFolder.read(out.resolve("a/replays/replay-2")).figures().get("requests"));
+        run("lab", "sweep", file.toString(), "--field", "load.rate", "--over", "30/s,60/s", "--out", out + "/s",
+            "--balancer-command", command);
+        assertEquals(output(), 3, Files.readAllLines(out.resolve("s/sweep.csv")).size());
+        assertEquals(1, run("lab", "compare", out + "/a", out + "/nothing"));
+        assertTrue(output(), output().contains("nothing: holds no result"));
+    }
+
+    /** An interrupt leaves no process behind and keeps what there is, marked as partial. */
+    @Test
+    public void anInterruptLeavesNothingBehind() throws Exception {
+        Path out = folder.newFolder().toPath();
+        Process lab = start("lab", "run", scenario("100s").toString(), "--out", out.toString(), "--balancer-command",
+            RefereeCatchesTest.command("good"));
+        long latest = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!output().contains("of 100 s") && System.nanoTime() < latest) {
+            Thread.sleep(20);
+        }
+        List<ProcessHandle> balancers = lab.descendants().toList();
+        assertFalse(output(), balancers.isEmpty());
+        assertEquals(0, new ProcessBuilder("kill", "-INT", Long.toString(lab.pid())).start().waitFor());
+        assertTrue("did not end", lab.waitFor(30, TimeUnit.SECONDS));
+        for (ProcessHandle balancer : balancers) {
+            balancer.onExit().get(30, TimeUnit.SECONDS);
+        }
+        assertEquals("interrupted", RunFolder.read(out).ended());
+        assertTrue(Files.readString(out.resolve("report.html")).contains("Partial."));
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/calicochute/lab/process/ScriptedBalancer.java
@@ -0,0 +1,174 @@
+package calicochute.lab.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A plain balancer, good or bad as its mode says, started as the lab starts any: it shows what the referee catches. */
+public final class ScriptedBalancer {
+    private static final AtomicInteger SESSIONS = new AtomicInteger();
+    private static final Map<String, JsonNode> SERVERS = new LinkedHashMap<>();
+    private static String mode;
+
+    private ScriptedBalancer() {
+    }
+
+    private record Message(String head, byte[] body) {
+        byte[] bytes() {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            out.writeBytes(head.getBytes(StandardCharsets.ISO_8859_1));
+            out.writeBytes(body);
+            return out.toByteArray();
+        }
+
+        static Message read(InputStream in) throws IOException {
+            ByteArrayOutputStream head = new ByteArrayOutputStream();
+            while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                int b = in.read();
+                if (b < 0) {
+                    throw new EOFException();
+                }
+                head.write(b);
+            }
+            String text = head.toString(StandardCharsets.ISO_8859_1);
+            String length = text.replaceAll("(?is).*content-length: (\\d+).*", "$1");
+            return new Message(text, in.readNBytes(length.equals(text) ? 0 : Integer.parseInt(length)));
+        }
+    }
+
+    public static void main(String[] args) throws Exception {
+        mode = args[0];
+        JsonNode config = new ObjectMapper().readTree(new File(System.getenv("PROXY_CONFIG")));
+        list(config.get("known"));
+        String[] listen = config.get("listen").asText().split(":");
+        thread(() -> watch(config.get("discovery").asText().split(":")));
+        try (ServerSocket listener = new ServerSocket(Integer.parseInt(listen[1]), 200,
+            InetAddress.getByName(listen[0]))) {
+            while (true) {
+                Socket client = listener.accept();
+                thread(() -> serve(client));
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // One connection's end.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static synchronized void list(JsonNode page) {
+        if (page.get("reset").asBoolean()) {
+            SERVERS.clear();
+        }
+        for (JsonNode one : page.get("instances")) {
+            boolean ready = one.get("lifecycle").asText().equals("Ready");
+            if (ready) {
+                SERVERS.put(one.get("instanceId").asText(), one);
+            } else if (!mode.equals("drains-late")) {
+                SERVERS.remove(one.get("instanceId").asText());
+            }
+        }
+    }
+
+    private static void watch(String[] at) throws Exception {
+        while (true) {
+            try (Socket discovery = new Socket(at[0], Integer.parseInt(at[1]))) {
+                discovery.getOutputStream().write("GET /v1/endpoints HTTP/1.1\r\nHost: d\r\n\r\n".getBytes());
+                JsonNode page = new ObjectMapper().readTree(Message.read(discovery.getInputStream()).body());
+                if (!mode.equals("drains-late")) {
+                    list(page);
+                }
+            } catch (IOException e) {
+                // Asked again.
+            }
+            Thread.sleep(100);
+        }
+    }
+
+    private static synchronized InetSocketAddress choose(int session) {
+        List<JsonNode> all = List.copyOf(SERVERS.values());
+        JsonNode one = all.get(session % all.size());
+        if (mode.equals("floods")) {
+            for (JsonNode other : all) {
+                one = other.get("startedAtMs").asLong() > one.get("startedAtMs").asLong() ? other : one;
+            }
+        }
+        String[] at = one.get("hostPort").asText().split(":");
+        return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+    }
+
+    private static Message dispatch(Message request, int session) throws IOException {
+        InetSocketAddress at = choose(session);
+        try (Socket server = new Socket(at.getAddress(), at.getPort())) {
+            server.setTcpNoDelay(true);
+            String left = request.head().replaceAll("(?is).*x-remaining-ms: (\\d+).*", "$1");
+            server.setSoTimeout(Math.max(1, Integer.parseInt(left) - 200));
+            server.getOutputStream().write(request.bytes());
+            return Message.read(server.getInputStream());
+        }
+    }
+
+    private static void serve(Socket client) throws IOException {
+        try (client) {
+            client.setTcpNoDelay(true);
+            while (true) {
+                Message request = Message.read(client.getInputStream());
+                byte[] answer = "HTTP/1.1 502 -\r\nContent-Length: 0\r\n\r\n".getBytes();
+                if (request.head().startsWith("GET /ready")) {
+                    answer = "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n".getBytes();
+                } else {
+                    int session = SESSIONS.incrementAndGet();
+                    boolean once = request.head().startsWith("POST") && !request.head().contains("Idempotency-Key");
+                    if (mode.equals("crashes") && session > 20) {
+                        Runtime.getRuntime().halt(7);
+                    }
+                    if (mode.equals("never-answers") && session % 10 == 0) {
+                        continue;
+                    }
+                    try {
+                        if (mode.equals("sends-twice") && once) {
+                            dispatch(request, session + 1);
+                        }
+                        answer = dispatch(request, session).bytes();
+                    } catch (IOException e) {
+                        // 502.
+                    }
+                    if (mode.equals("denies-late") && once && session % 5 == 0) {
+                        answer = "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n".getBytes();
+                    }
+                    if (mode.equals("forges") && session % 10 == 0) {
+                        answer = "HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok".getBytes();
+                    }
+                }
+                client.getOutputStream().write(answer);
+                if (mode.equals("answers-twice") && SESSIONS.get() % 10 == 0) {
+                    client.getOutputStream().write(answer);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/calicochute/lab/scenario/ScenarioReaderTest.java
@@ -0,0 +1,133 @@
+package calicochute.lab.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicochute.lab.scenario.ScenarioException.Complaint;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** A scenario that can't be used is refused with the line, the field and what would be right; never half read. */
+class ScenarioReaderTest {
+    /** Any text will do in these; a list in their place is refused like everywhere. */
+    private static final Set<String> FREE_TEXT = Set.of("title", "shows", "name");
+
+    private static String full() throws IOException {
+        try (InputStream in = ScenarioReaderTest.class.getResourceAsStream("/calicochute/lab/full.yaml")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static List<Complaint> complaints(String text) {
+        return assertThrows(ScenarioException.class, () -> ScenarioReader.parse("s.yaml", text)).complaints();
+    }
+
+    @Test
+    void theFullFileIsReadAndWrittenBack() throws Exception {
+        Scenario read = ScenarioReader.parse("s.yaml", full());
+        assertEquals(20_000_000, read.length().micros());
+        assertEquals(Range.of(0.85, 1.1), read.tiers().get(0).kinds().get(0).speed());
+        assertEquals(Trouble.Kind.ZONE_CUT, read.troubles().get(2).kind());
+        assertEquals(read, ScenarioReader.parse("again", ScenarioReader.write(read)));
+    }
+
+    /** Each field of the full file broken in turn, in two ways: what can't be its form, and a name that isn't known. */
+    @TestFactory
+    Stream<DynamicTest> eachFieldBrokenInTurn() throws IOException {
+        List<String> lines = full().lines().toList();
+        List<DynamicTest> tests = new ArrayList<>();
+        for (int i = 0; i < lines.size(); i++) {
+            String line = lines.get(i);
+            int colon = line.indexOf(':');
+            String key = line.substring(0, colon).replace("-", "").trim();
+            boolean leaf = colon < line.length() - 1;
+            int number = i + 1;
+            if (leaf) {
+                tests.add(broken(lines, i, line.substring(0, colon) + ": {no: {such: thing}}", key, number));
+                if (!FREE_TEXT.contains(key) && !key.equals("names")) {
+                    tests.add(broken(lines, i, line.substring(0, colon) + ": frobnicate", key, number));
+                    tests.add(broken(lines, i, line.substring(0, colon) + ": -1e12", key, number));
+                }
+            }
+            int from = line.indexOf(key);
+            tests.add(broken(lines, i, line.substring(0, from) + "x" + line.substring(from), "x" + key, number));
+        }
+        return tests.stream();
+    }
+
+    private static DynamicTest broken(List<String> lines, int index, String with, String key, int number) {
+        List<String> changed = new ArrayList<>(lines);
+        changed.set(index, with);
+        return DynamicTest.dynamicTest("line " + number + ": " + with.trim(), () -> {
+            List<Complaint> complaints = complaints(String.join("\n", changed));
+            assertTrue(complaints.stream().anyMatch(c -> c.line() == number && c.file().equals("s.yaml")
+                && c.field().matches(".*\\b" + key + "(\\[\\d+\\])?") && !c.rule().isBlank()),
+                () -> "no complaint of " + key + " at line " + number + " in " + complaints);
+        });
+    }
+
+    @Test
+    void allFaultsAreToldAtOnce() throws IOException {
+        List<Complaint> found = complaints(full().replace("cores: 2", "cores: two").replace("400us", "400")
+            .replace("effect: keyed", "effect: keyd"));
+        assertEquals(3, found.size(), found::toString);
+    }
+
+    @Test
+    void whatFieldsMeanTogetherIsChecked() throws IOException {
+        record Case(String from, String to, String field, String rule) {
+        }
+        for (Case c : List.of(
+            new Case("aim: 2500ms", "aim: 8s", "classes[0].aim", "giveUp"),
+            new Case("share: 0.6", "share: 0.5", "tenants", "add up to 1"),
+            new Case("    calls: [1, 2]\n", "", "tiers[0].calls", "between 1 and 5"),
+            new Case("  utilisation: 0.55", "  utilisation: 0.55\n  rate: 9/s", "load", "either rate or utilisation"),
+            new Case("tier: front", "tier: attic", "troubles[4].tier", "front, catalogue"),
+            new Case("    servers: 3\n", "", "troubles[0]", "either servers"),
+            new Case("zone: west", "zone: south", "troubles[2].zone", "one of"),
+            new Case("factor: 0.1", "factor: 1.5", "troubles[1].factor", "between 0 and 1"),
+            new Case("at: 12s", "at: 20s", "troubles[2].at", "after the end"),
+            new Case("window: 7500ms", "window: 0s", "classes[1].window", "window"),
+            new Case("name: univ-library", "name: state-archive", "tenants[1]", "twice"),
+            new Case("balancers: 1", "balancers: 4", "troubles[3].balancers", "only 3"))) {
+            String text = full();
+            assertTrue(text.contains(c.from), c.from);
+            List<Complaint> found = complaints(text.replace(c.from, c.to));
+            assertTrue(found.stream().anyMatch(f -> f.field().equals(c.field) && f.rule().contains(c.rule)
+                && f.line() > 1), () -> c + ": " + found);
+        }
+    }
+
+    @Test
+    void whatIsNoScenarioAtAll() {
+        assertTrue(complaints("").get(0).rule().contains("empty"), () -> complaints("").toString());
+        assertTrue(complaints("a: [b").get(0).rule().contains("YAML"));
+        assertTrue(complaints("just words").get(0).rule().contains("not"),
+            () -> complaints("just words").toString());
+        assertTrue(complaints("version: 1\nversion: 1\n").get(0).rule().contains("uplicate"),
+            () -> complaints("version: 1\nversion: 1\n").toString());
+        ScenarioException none = assertThrows(ScenarioException.class, () -> ScenarioReader.read(Path.of("no.yaml")));
+        assertTrue(none.getMessage().contains("no such file"), none.getMessage());
+    }
+
+    @Test
+    void theScenariosThatAreShippedAreGood() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("scenarios"))) {
+            List<Path> all = files.filter(f -> f.toString().endsWith(".yaml")).toList();
+            for (Path file : all) {
+                ScenarioReader.read(file);
+            }
+        }
+    }
+}
