--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -47,7 +47,9 @@
                            Consumer<Exception> failed, Consumer<Connection> closed) {
         Connection connection = new Connection(closed);
         Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000));
-        reactor.connect(new HttpHost(address.getAddress(), address.getPort()), address, null, timeout, connection,
+        // With its text for a name: HttpHost would ask the system for the address's name, which can take seconds.
+        HttpHost host = new HttpHost(null, address.getAddress(), address.getHostString(), address.getPort());
+        reactor.connect(host, address, null, timeout, connection,
             new FutureCallback<IOSession>() {
                 @Override
                 public void completed(IOSession session) {
--- a/lab/src/main/java/calicochute/lab/cli/LabMain.java
+++ b/lab/src/main/java/calicochute/lab/cli/LabMain.java
@@ -20,6 +20,8 @@
                 .command("compare", new CompareCommand())
                 .command("sweep", new SweepCommand())
                 .command("report", new ReportCommand())
+                .command("overhead", new OverheadCommand())
+                .command("relay", new RelayCommand())
                 .run(Arrays.copyOfRange(args, 1, args.length));
         }
         return new CommandLine("calicochute").command("demo", new DemoCommand()).run(args);
--- a/lab/src/main/java/calicochute/lab/socket/Sockets.java
+++ b/lab/src/main/java/calicochute/lab/socket/Sockets.java
@@ -80,7 +80,8 @@
     /** Opens a connection; the world hears {@code opened} with it, or {@code failed}. */
     public void connect(InetSocketAddress address, long timeoutMicros, Link.Owner owner, Consumer<Link> opened,
                         Runnable failed) {
-        connecting.connect(new HttpHost(address.getAddress(), address.getPort()), address, null,
+        // With its text for a name: HttpHost would ask the system for the address's name, which can take seconds.
+        connecting.connect(new HttpHost(null, address.getAddress(), address.getHostString(), address.getPort()), address, null,
             Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000)), owner, new FutureCallback<>() {
                 @Override
                 public void completed(IOSession session) {
--- a/lab/src/test/java/calicochute/lab/plan/PlanTest.java
+++ b/lab/src/test/java/calicochute/lab/plan/PlanTest.java
@@ -66,6 +66,9 @@
         for (int seed = 0; seed < runs; seed++) {
             Streams streams = new Streams(seed);
             for (Arrival a : ArrivalPlan.draw(deployment, streams)) {
+                if (a.at() < 0) {
+                    continue;
+                }
                 count++;
                 work += a.work();
                 views += a.classIndex() == 0 ? 1 : 0;
--- a/lab/src/test/java/calicochute/lab/process/LabCommandTest.java
+++ b/lab/src/test/java/calicochute/lab/process/LabCommandTest.java
@@ -27,6 +27,7 @@
         shows: the command line
         length: LENGTH
         settle: 50ms
+        leadIn: 300ms
         classes: [{name: view, share: 1, effect: repeatable, work: 10ms, aim: 900ms, giveUp: 1s}]
         tenants: [{name: t, share: 1}]
         tiers: [{name: only, servers: 3, work: 1, kinds: [{name: k, slots: 4}]}]
@@ -110,6 +111,32 @@
         assertTrue(output(), output().contains("nothing: holds no result"));
     }
 
+    /** The first thing that a newcomer runs: two tiers, each front server with a balancer of its own. */
+    @Test
+    public void theDemoPlaysTwoTiers() throws Exception {
+        Path out = folder.newFolder().toPath();
+        int ran = run("demo", "--seconds", "5", "--out", out.toString(), "--balancer-command",
+            RefereeCatchesTest.command("good"));
+        RunResult result = RunFolder.read(out);
+        assertEquals(output(), result.counts() ? 0 : 1, ran);
+        assertTrue(output(), output().contains("service_worst_class") && output().contains("report: "));
+        assertTrue(result.figures().get("dispatches_per_request_catalogue") > 1);
+        assertEquals("slow", result.troubles().get(0).kind());
+    }
+
+    @Test
+    public void overheadComparesThreeWays() throws Exception {
+        Path out = folder.newFolder().toPath();
+        assertEquals(0, run("lab", "overhead", "--rounds", "1", "--seconds", "1", "--rate", "50", "--together", "4",
+            "--out", out.toString(), "--balancer-command", RefereeCatchesTest.command("good")));
+        List<String> table = Files.readAllLines(out.resolve("overhead.csv"));
+        assertEquals(4, table.size());
+        for (String row : table.subList(1, 4)) {
+            assertTrue(row, row.split(",")[2].equals("0") && Integer.parseInt(row.split(",")[1]) > 20);
+        }
+        assertEquals(2, run("lab", "relay", "nowhere"));
+    }
+
     /** An interrupt leaves no process behind and keeps what there is, marked as partial. */
     @Test
     public void anInterruptLeavesNothingBehind() throws Exception {
--- a/lab/src/test/java/calicochute/lab/process/RefereeCatchesTest.java
+++ b/lab/src/test/java/calicochute/lab/process/RefereeCatchesTest.java
@@ -29,6 +29,7 @@
         shows: what a scripted balancer does to it
         length: 3s
         settle: 50ms
+        leadIn: 300ms
         zones: {names: [a]}
         classes:
           - {name: view, share: 0.4, effect: repeatable, work: 10ms, aim: 900ms, giveUp: 1s}
