--- a/lab/src/main/java/calicochute/lab/cli/DemoCommand.java
+++ b/lab/src/main/java/calicochute/lab/cli/DemoCommand.java
@@ -6,8 +6,6 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
-import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Locale;
 
@@ -31,10 +29,7 @@
         if (seconds < LEAST || seconds > MOST) {
             throw new ParameterException("--seconds must lie between " + LEAST + " and " + MOST);
         }
-        String text;
-        try (InputStream in = DemoCommand.class.getResourceAsStream("/calicochute/lab/demo.yaml")) {
-            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
-        }
+        String text = Packaged.scenario("demo.yaml");
         text = text.replace("LENGTH", seconds + "s")
             .replace("FROM", String.format(Locale.ROOT, "%.1fs", seconds / 3.0))
             .replace("LASTS", String.format(Locale.ROOT, "%.1fs", seconds / 3.0));
--- a/lab/src/main/java/calicochute/lab/cli/OverheadCommand.java
+++ b/lab/src/main/java/calicochute/lab/cli/OverheadCommand.java
@@ -8,8 +8,6 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
-import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -43,10 +41,7 @@
         if (rate <= 0 || rate > 20_000 || seconds < 1 || rounds < 1 || together < 1) {
             throw new ParameterException("--rate must lie between 0 and 20000, the others be 1 at least");
         }
-        String text;
-        try (InputStream in = OverheadCommand.class.getResourceAsStream("/calicochute/lab/overhead.yaml")) {
-            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
-        }
+        String text = Packaged.scenario("overhead.yaml");
         Path folder = Path.of(out);
         List<Result> results = new OverheadRun(ScenarioReader.parse("overhead.yaml", text), folder,
             options.balancers(), List.of(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-Xmx96m",
