A pool that lends rested connections first and opens spares ahead

The connection used last was lent first, whatever was left of its rest of 5 ms, so a rested one beside it went unused, and 32 connections that rest after each answer can't carry more than 6,400/s.

Change: pool.Pool, a state machine without I/O: of the rested connections the youngest is lent; where all rest, the one that rests shortest, and a spare is opened ahead (one at a time, 16 free at most, half the room at most, none for 20 s after one failed). A spare that its server ends is told apart from the end of a kept connection. Both rests stay as they are: they guard rules.

--- a/balancer/src/main/java/calicochute/backend/BackendServer.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServer.java
@@ -1,33 +1,22 @@
 package calicochute.backend;
 
 import calicochute.connection.Connection;
+import calicochute.pool.Pool;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 
-/** One backend server's address and the connections to it that stand idle, the latest used first. */
+/** One backend server's address and the connections to it that are free. */
 final class BackendServer {
-    record Idle(Connection connection, long since) { }
-
     final InetSocketAddress address;
+    final Pool<Connection> pool;
     /** No longer listed, or listed at another address: nothing is kept for it any more. */
     boolean gone;
-    final ArrayDeque<Idle> idle = new ArrayDeque<>();
 
     /** Until then its connections serve one call each. */
     private long waryUntil;
 
-    BackendServer(InetSocketAddress address) {
+    BackendServer(InetSocketAddress address, Pool.Rules rules) {
         this.address = address;
-    }
-
-    /** Takes an idle connection that is still open; null if there is none. */
-    Idle take() {
-        for (Idle next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
-            if (next.connection().open()) {
-                return next;
-            }
-        }
-        return null;
+        pool = new Pool<>(rules, Connection::open);
     }
 
     /** It ended a connection that was kept for it: for a while none is kept, lest calls be written to ended ones. */
@@ -40,13 +29,10 @@
         return !gone && now >= waryUntil;
     }
 
-    /** Closes those idle since before that time; tells how many. */
+    /** Closes those free since that time or longer; tells how many. */
     int closeIdleSince(long time) {
-        int closed = 0;
-        while (!idle.isEmpty() && idle.peekLast().since() <= time) {
-            idle.pollLast().connection().close();
-            closed++;
-        }
-        return closed;
+        var old = pool.takeIdleSince(time);
+        old.forEach(Connection::close);
+        return old.size();
     }
 }
--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -11,6 +11,7 @@
 import calicochute.exchange.Message;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
+import calicochute.pool.Pool;
 import calicochute.settings.Bounds;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +33,12 @@
     private static final long SETTLE = 5_000;
     /** How long a new connection rests before its call: a server that resets it at once has then run nothing. */
     private static final long FRESH = 2_000;
+    /** Free connections to a server beyond which none is opened ahead, and how long none is after one that failed. */
+    private static final int MOST_FREE = 16;
+    private static final long SPARE_BAN = 20_000_000;
+    /** Spares leave this part of the room to sessions. */
+    private static final double SPARE_ROOM = 0.5;
+    private static final Pool.Rules POOL = new Pool.Rules(FRESH, SETTLE, MOST_FREE, SPARE_BAN);
     /** How long no connections are kept for a server that ended one early. */
     private static final long WARY = 20_000_000;
     /** A call on an ended connection fails within a round trip; a later failure is one of the answer. */
@@ -69,7 +76,7 @@
         BackendServer known = servers.get(server);
         if (known == null || !address.equals(known.address)) {
             forget(server);
-            servers.put(server, new BackendServer(address));
+            servers.put(server, new BackendServer(address, POOL));
         }
     }
 
@@ -133,17 +140,78 @@
         }
     }
 
+    /** Opens a connection, which counts until it has ended; both callbacks come on the decision thread. */
+    private Connection open(BackendServer server, Consumer<Connection> opened, Runnable failed) {
+        Object one = new Object();
+        connections.add(one);
+        counters.count(Counter.CONNECTIONS_OPENED);
+        return connector.open(server.address, connectTimeout, c -> queue.post(() -> opened.accept(c)),
+            e -> queue.post(() -> {
+                connections.remove(one);
+                failed.run();
+            }), c -> queue.post(() -> {
+                connections.remove(one);
+                Pool.Ended ended = server.pool.ended(c, queue.now());
+                if (ended == Pool.Ended.KEPT && !c.spoilt()) {
+                    endedEarly(server);
+                } else if (ended == Pool.Ended.SPARE) {
+                    counters.count(Counter.SPARES_FAILED);
+                }
+            }));
+    }
+
+    /** Opens a connection ahead if the server's pool wants one; nobody waits for it. */
+    private void openSpare(BackendServer server) {
+        if (!server.keeps(queue.now()) || connections.size() >= room * SPARE_ROOM
+            || !server.pool.claimSpare(queue.now())) {
+            return;
+        }
+        counters.count(Counter.SPARES_OPENED);
+        boolean[] over = new boolean[1];
+        Connection[] spare = new Connection[1];
+        DecisionQueue.Alarm never = queue.after(connectTimeout, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                spareFailed(server);
+                spare[0].close();
+            }
+        });
+        spare[0] = open(server, c -> {
+            never.cancel();
+            if (over[0] || !server.keeps(queue.now())) {
+                c.close();
+                if (!over[0]) {
+                    spareFailed(server);
+                }
+            } else {
+                over[0] = true;
+                server.pool.spareOpened(c, queue.now());
+            }
+        }, () -> {
+            never.cancel();
+            if (!over[0]) {
+                over[0] = true;
+                spareFailed(server);
+            }
+        });
+    }
+
+    private void spareFailed(BackendServer server) {
+        counters.count(Counter.SPARES_FAILED);
+        server.pool.spareFailed(queue.now());
+    }
+
     /** Closes the connection that has been idle longest, whichever server it goes to; false if none is. */
     private boolean closeIdlest() {
         BackendServer idlest = null;
         for (BackendServer server : servers.values()) {
-            if (!server.idle.isEmpty() && (idlest == null
-                || server.idle.peekLast().since() < idlest.idle.peekLast().since())) {
+            if (server.pool.free() > 0 && (idlest == null
+                || server.pool.idlestSince() < idlest.pool.idlestSince())) {
                 idlest = server;
             }
         }
         if (idlest != null) {
-            count(idlest.closeIdleSince(idlest.idle.peekLast().since()));
+            count(idlest.closeIdleSince(idlest.pool.idlestSince()));
         }
         return idlest != null;
     }
@@ -241,12 +309,13 @@
             if (ended) {
                 return;
             }
-            BackendServer.Idle idle = server.take();
-            if (idle != null) {
-                connection = idle.connection();
-                long rest = idle.since() + SETTLE - queue.now();
-                if (rest > 0) {
-                    queue.after(rest, this::reuse);
+            Pool.Lent<Connection> lent = server.pool.take(queue.now());
+            if (lent != null) {
+                connection = lent.connection();
+                if (lent.rest() > 0) {
+                    counters.count(Counter.CONNECTIONS_WAITED_FOR);
+                    queue.after(lent.rest(), this::reuse);
+                    openSpare(server);
                 } else {
                     reuse();
                 }
@@ -257,23 +326,9 @@
                 end(Outcome.CONNECT_FAILED, null);
                 return;
             }
-            Object one = new Object();
-            connections.add(one);
-            counters.count(Counter.CONNECTIONS_OPENED);
             // A connection that never comes up is never answered by the network: only this alarm ends the wait.
             connecting = queue.after(connectTimeout, () -> end(Outcome.CONNECT_FAILED, null));
-            BackendServer at = server;
-            Consumer<Connection> closed = c -> queue.post(() -> {
-                connections.remove(one);
-                if (at.idle.removeIf(i -> i.connection() == c) && !c.spoilt()) {
-                    endedEarly(at);
-                }
-            });
-            connection = connector.open(server.address, connectTimeout, c -> queue.post(this::opened),
-                e -> queue.post(() -> {
-                    connections.remove(one);
-                    end(Outcome.CONNECT_FAILED, null);
-                }), closed);
+            connection = open(server, c -> opened(), () -> end(Outcome.CONNECT_FAILED, null));
         }
 
         private void reuse() {
@@ -323,7 +378,7 @@
                 endedEarly(server);
             }
             if (reply.reusable() && server.keeps(queue.now())) {
-                server.idle.addFirst(new BackendServer.Idle(connection, queue.now()));
+                server.pool.give(connection, queue.now());
                 connection = null;
             }
             end(outcome(reply), reply);
--- /dev/null
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -0,0 +1,146 @@
+package calicochute.pool;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * The free connections to one backend server: a state machine without I/O, with time as an argument (microseconds).
+ *
+ * <p>A connection is free or lent. A free one <em>rests</em> first: {@code answerRest} after an answer, since what a server
+ * sends behind an answer comes at once and ends the connection; {@code freshRest} after coming up, since a server that
+ * will not have it resets it at once. A lent one belongs to one call, and comes back with {@link #give} or not at all.
+ *
+ * <p>Of the rested ones the youngest is lent, so that those not needed grow old and are closed. Where none is rested, the
+ * one that rests shortest is lent with the time still to wait; and since a session then had to wait, a spare is wanted: a
+ * connection opened ahead, for nobody yet. Waiting rather than opening one for the session itself: a handshake costs it
+ * more than what is left of a rest. Spares are bounded, one is opened at a time, and a server that ended one gets none
+ * for a while.
+ *
+ * @param <C> the connection
+ */
+public final class Pool<C> {
+    private final Rules rules;
+    private final Predicate<C> open;
+    /** The youngest first. */
+    private final ArrayDeque<Kept<C>> free = new ArrayDeque<>();
+    private boolean spareWanted;
+    private boolean spareOpening;
+    private long noSparesUntil = Long.MIN_VALUE;
+
+    /**
+     * @param freshRest rest of a connection that has come up, in microseconds
+     * @param answerRest rest of a connection after an answer, in microseconds
+     * @param mostFree with so many free ones no spare is wanted
+     * @param spareBan for so long after a spare that failed none is opened, in microseconds
+     */
+    public record Rules(long freshRest, long answerRest, int mostFree, long spareBan) {
+    }
+
+    /** A connection lent to a call that may begin in {@code rest} microseconds. */
+    public record Lent<C>(C connection, long rest) {
+    }
+
+    /** What the end of a connection says. */
+    public enum Ended {
+        /** It was not free: its call hears of it. */
+        NOT_HERE,
+        /** The server ended one that it had served on. */
+        KEPT,
+        /** The server ended one that had never been used. */
+        SPARE
+    }
+
+    private record Kept<C>(C connection, long since, long restedAt, boolean used) {
+    }
+
+    /** @param open whether a connection is open as far as this side knows; looked at before each use */
+    public Pool(Rules rules, Predicate<C> open) {
+        this.rules = rules;
+        this.open = open;
+    }
+
+    /** Lends a connection; null if there is none to be had. */
+    public Lent<C> take(long now) {
+        Kept<C> soonest = null;
+        for (Iterator<Kept<C>> i = free.iterator(); i.hasNext();) {
+            Kept<C> kept = i.next();
+            if (!open.test(kept.connection)) {
+                i.remove();
+            } else if (kept.restedAt <= now) {
+                i.remove();
+                return new Lent<>(kept.connection, 0);
+            } else if (soonest == null || kept.restedAt < soonest.restedAt) {
+                soonest = kept;
+            }
+        }
+        if (soonest == null) {
+            return null;
+        }
+        free.remove(soonest);
+        spareWanted = true;
+        return new Lent<>(soonest.connection, soonest.restedAt - now);
+    }
+
+    /** A lent connection comes back after an answer. */
+    public void give(C connection, long now) {
+        free.addFirst(new Kept<>(connection, now, now + rules.answerRest, true));
+    }
+
+    /** Whether a connection should be opened ahead; if so it counts as being opened from now on. */
+    public boolean claimSpare(long now) {
+        boolean claimed = spareWanted && !spareOpening && now >= noSparesUntil && free.size() < rules.mostFree;
+        spareWanted = false;
+        spareOpening |= claimed;
+        return claimed;
+    }
+
+    /** The connection opened ahead has come up. */
+    public void spareOpened(C connection, long now) {
+        spareOpening = false;
+        free.addFirst(new Kept<>(connection, now, now + rules.freshRest, false));
+    }
+
+    /** The connection opened ahead has not come up, or is not wanted any more. */
+    public void spareFailed(long now) {
+        spareOpening = false;
+        noSparesUntil = now + rules.spareBan;
+    }
+
+    /** The server ended a connection; it is lent no more. */
+    public Ended ended(C connection, long now) {
+        for (Iterator<Kept<C>> i = free.iterator(); i.hasNext();) {
+            Kept<C> kept = i.next();
+            if (kept.connection == connection) {
+                i.remove();
+                if (!kept.used) {
+                    noSparesUntil = now + rules.spareBan;
+                }
+                return kept.used ? Ended.KEPT : Ended.SPARE;
+            }
+        }
+        return Ended.NOT_HERE;
+    }
+
+    /** Takes out those that have been free since that time or longer, for the caller to close. */
+    public List<C> takeIdleSince(long time) {
+        List<C> old = new ArrayList<>();
+        free.removeIf(kept -> kept.since <= time && old.add(kept.connection));
+        return old;
+    }
+
+    public int free() {
+        return free.size();
+    }
+
+    /** Since when the one that has been free longest is; {@link Long#MAX_VALUE} if none is. */
+    public long idlestSince() {
+        long since = Long.MAX_VALUE;
+        for (Kept<C> kept : free) {
+            since = Math.min(since, kept.since);
+        }
+        return since;
+    }
+}
--- a/balancer/src/test/java/calicochute/process/Peer.java
+++ b/balancer/src/test/java/calicochute/process/Peer.java
@@ -19,6 +19,8 @@
     /** Connections that the program ended. */
     final List<Socket> ended = new CopyOnWriteArrayList<>();
     volatile Script script;
+    /** Connections beyond this many are ended as they come up. */
+    volatile int mostConnections = Integer.MAX_VALUE;
     private final ServerSocket listener;
 
     Peer(Script script) throws IOException {
@@ -28,6 +30,10 @@
             while (true) {
                 Socket socket = listener.accept();
                 connections.add(socket);
+                if (connections.size() > mostConnections) {
+                    socket.close();
+                    continue;
+                }
                 start(() -> serve(socket));
             }
         });
