--- a/lab/src/main/java/calicochute/lab/cli/RunCommand.java
+++ b/lab/src/main/java/calicochute/lab/cli/RunCommand.java
@@ -27,19 +27,19 @@
         Path file = Path.of(scenario);
         Scenario read = ScenarioReader.read(file);
         Path folder = out != null ? Path.of(out) : folder(file, options.seed);
-        play(read, options, folder);
+        judge(play(read, options, folder));
     }
 
     static Path folder(Path scenario, long seed) {
         return Path.of("lab-results", scenario.getFileName().toString().replaceFirst("\\.ya?ml$", "") + "-" + seed);
     }
 
-    static void play(Scenario scenario, RunOptions options, Path folder) throws Exception {
+    static RunResult play(Scenario scenario, RunOptions options, Path folder) throws Exception {
         Console console = Console.standard();
         RunResult result = new Runner(options.balancers(), console).run(scenario, options.seed, folder);
         console.table(result);
         console.say("report: " + folder.resolve("report.html"));
-        judge(result);
+        return result;
     }
 
     /** A run that does not count, or in which a rule was broken, is a failure. */
--- a/lab/src/main/java/calicochute/lab/emulator/Emulation.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Emulation.java
@@ -216,6 +216,8 @@
             running = false;
             cpuAtEnd = cpu();
             wallAtEnd = site.world.now();
+            // The last look, so that a run shorter than two seconds has its use of CPU too.
+            balancers.values().forEach(BalancerHost::sample);
             over.countDown();
         } else {
             site.world.after(SECOND / 20, () -> awaitEnd(latest));
