--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -166,39 +166,7 @@
             || !server.pool.claimSpare(queue.now())) {
             return;
         }
-        counters.count(Counter.SPARES_OPENED);
-        boolean[] over = new boolean[1];
-        Connection[] spare = new Connection[1];
-        DecisionQueue.Alarm never = queue.after(connectTimeout, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                spareFailed(server);
-                spare[0].close();
-            }
-        });
-        spare[0] = open(server, c -> {
-            never.cancel();
-            if (over[0] || !server.keeps(queue.now())) {
-                c.close();
-                if (!over[0]) {
-                    spareFailed(server);
-                }
-            } else {
-                over[0] = true;
-                server.pool.spareOpened(c, queue.now());
-            }
-        }, () -> {
-            never.cancel();
-            if (!over[0]) {
-                over[0] = true;
-                spareFailed(server);
-            }
-        });
-    }
-
-    private void spareFailed(BackendServer server) {
-        counters.count(Counter.SPARES_FAILED);
-        server.pool.spareFailed(queue.now());
+        new Spare(server).begin();
     }
 
     /** Closes the connection that has been idle longest, whichever server it goes to; false if none is. */
@@ -275,6 +243,39 @@
         return reply.status() == 200 ? Outcome.OK : Outcome.ERROR;
     }
 
+    /** A connection opened ahead: it comes up, fails or never comes up, whichever is first. */
+    private final class Spare {
+        private final BackendServer server;
+        private Connection connection;
+        private DecisionQueue.Alarm never;
+        private boolean over;
+
+        Spare(BackendServer server) {
+            this.server = server;
+        }
+
+        void begin() {
+            counters.count(Counter.SPARES_OPENED);
+            never = queue.after(connectTimeout, () -> end(false));
+            connection = open(server, c -> end(true), () -> end(false));
+        }
+
+        private void end(boolean up) {
+            if (over) {
+                return;
+            }
+            over = true;
+            never.cancel();
+            if (up && server.keeps(queue.now())) {
+                server.pool.spareOpened(connection, queue.now());
+            } else {
+                counters.count(Counter.SPARES_FAILED);
+                server.pool.spareFailed(queue.now());
+                connection.close();
+            }
+        }
+    }
+
     /** Told how an errand ended; {@code reply} is null where none was waited for. */
     private interface Ending {
         void ended(Outcome outcome, Reply reply);
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -10,41 +10,25 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
 /** The program as clients meet it that send what they should not, or nothing, or too much. */
-public class BadClientTest {
-    private static final String ID = "9b1f03aa5c7e2d41";
+public class BadClientTest extends OneServer {
     private static final String VIEW = session(ID, "view");
     private static final String SCAN = session(ID, "scan");
-    private final CountDownLatch release = new CountDownLatch(1);
-    private Peer discovery;
-    private Peer server;
-    private Program program;
 
-    @Before
-    public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
-        server = new Peer(r -> Http.answer(200, "", "a map"));
-        program = new Program("", 80, discovery, server);
+    @Override
+    Program program() throws Exception {
+        return new Program("", 80, discovery, server);
     }
 
     /** Whatever came before: nothing of it has reached a server, and the next client is served. */
     @After
-    public void stop() throws Exception {
+    public void theNextClientIsServed() throws Exception {
         int before = server.requests.size();
         assertEquals(200, program.send(session("0" + ID.substring(1), "view")).status());
         assertEquals(before + 1, server.requests.size());
-        release.countDown();
-        program.stop();
-        server.close();
-        discovery.close();
     }
 
     /** Sends the text as it is and returns the status of the one answer, after which the connection has to end. */
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -12,37 +12,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
 /** The program as backend servers meet it whose answers are spoilt, or bring more than belongs to them. */
-public class BadServerTest {
-    private static final String ID = "9b1f03aa5c7e2d41";
+public class BadServerTest extends OneServer {
     private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na map";
-    private final CountDownLatch release = new CountDownLatch(1);
-    private Peer discovery;
-    private Peer server;
-    private Program program;
-
-    @Before
-    public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
-        server = new Peer(r -> GOOD.getBytes(StandardCharsets.US_ASCII));
-        program = new Program(discovery, server);
-    }
-
-    @After
-    public void stop() throws Exception {
-        release.countDown();
-        program.stop();
-        server.close();
-        discovery.close();
-    }
 
     private Http order(String answer) throws Exception {
         server.script = r -> answer.getBytes(StandardCharsets.ISO_8859_1);
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -13,38 +13,11 @@
 import java.nio.file.Path;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
 /** The program as its client, its backend servers and discovery meet it. */
-public class ServeTest {
-    private static final String ID = "9b1f03aa5c7e2d41";
-    private final CountDownLatch release = new CountDownLatch(1);
-    private Peer discovery;
-    private Peer server;
-    private Program program;
-
-    @Before
-    public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
-        server = new Peer(r -> Http.answer(200, "", "a map"));
-        program = new Program(discovery, server);
-    }
-
-    @After
-    public void stop() throws Exception {
-        release.countDown();
-        program.stop();
-        server.close();
-        discovery.close();
-    }
-
+public class ServeTest extends OneServer {
     private Http send(String lane) throws Exception {
         return program.send(session(ID, lane), lane.equals("view") ? new byte[0] : new byte[] {1, 2, 3});
     }
--- a/balancer/src/test/java/calicochute/process/SpareTest.java
+++ b/balancer/src/test/java/calicochute/process/SpareTest.java
@@ -6,37 +6,12 @@
 import static org.junit.Assert.assertTrue;
 
 import java.net.Socket;
-import java.util.concurrent.CountDownLatch;
-import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
 /** Connections opened ahead, as backend servers meet them. */
-public class SpareTest {
-    private final CountDownLatch release = new CountDownLatch(1);
-    private Peer discovery;
-    private Peer server;
-    private Program program;
+public class SpareTest extends OneServer {
     private int ids;
 
-    @Before
-    public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
-        server = new Peer(r -> Http.answer(200, "", "a map"));
-        program = new Program(discovery, server);
-    }
-
-    @After
-    public void stop() throws Exception {
-        release.countDown();
-        program.stop();
-        server.close();
-        discovery.close();
-    }
-
     /** Sessions right behind one another on one connection, until one meets a connection that still rests. */
     private void sessionsUntilOneWaits() throws Exception {
         await("a dispatch that waits", () -> {
--- a/lab/src/main/java/calicochute/lab/emulator/BalancerHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/BalancerHost.java
@@ -5,7 +5,6 @@
 import calicochute.lab.socket.Link;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -50,10 +49,7 @@
         this.folder = folder;
         this.launch = launch;
         this.configurer = configurer;
-        java.net.InetAddress host = site.nextAddress();
-        try (ServerSocket free = new ServerSocket(0, 1, host)) {
-            listen = new InetSocketAddress(host, free.getLocalPort());
-        }
+        listen = site.freeAddress();
     }
 
     BalancerSpec spec() {
--- a/lab/src/main/java/calicochute/lab/emulator/DiscoveryHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/DiscoveryHost.java
@@ -48,7 +48,6 @@
     private final Map<String, Map<String, Long>> toldStarts = new HashMap<>();
     private final CallQueue queue;
     private boolean down;
-    private long calls;
 
     /** @param address a server's address for callers of a zone */
     DiscoveryHost(Site site, BiFunction<String, String, InetSocketAddress> address) {
@@ -79,10 +78,6 @@
         return windows.get(balancer.name()).address;
     }
 
-    long calls() {
-        return calls;
-    }
-
     /** The list that a balancer starts from: all that is visible now. */
     ObjectNode known(BalancerSpec balancer) {
         Page page = directories.get(balancer.tier()).whole();
@@ -207,7 +202,6 @@
             if (down || site.cutZones.contains(balancer.zone())) {
                 return;
             }
-            calls++;
             Caller caller = (Caller) link.mark;
             Matcher since = WATCH.matcher(call.target());
             if (!since.find()) {
--- a/lab/src/main/java/calicochute/lab/emulator/Emulation.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Emulation.java
@@ -146,19 +146,15 @@
 
     private void startBalancers() {
         awaited = balancers.size();
-        troubleMaker.onCrash(this::crashed);
+        troubleMaker.onCrash(this::abort);
         for (BalancerHost balancer : balancers.values()) {
-            balancer.listeners(this::firstReady, this::crashed);
+            balancer.listeners(this::firstReady, this::abort);
             balancer.start();
         }
     }
 
-    private void crashed(String why) {
-        abort(why);
-    }
-
     private void firstReady(BalancerHost balancer) {
-        balancer.listeners(this::readyAgain, this::crashed);
+        balancer.listeners(this::readyAgain, this::abort);
         readyAgain(balancer);
         if (--awaited == 0) {
             site.world.after(scenario.settle().micros(), this::begin);
@@ -169,8 +165,7 @@
         if (balancer.spec().owner() == null) {
             clients.takeIn(balancer);
         } else {
-            servers.get(balancer.spec().owner()).callsThrough(
-                new Caller(site, balancer.spec(), balancer.address(), 0, Integer.MAX_VALUE));
+            servers.get(balancer.spec().owner()).callsThrough(balancer);
         }
     }
 
@@ -290,7 +285,8 @@
         long probes = counters.values().stream().mapToLong(c -> c.getOrDefault("probes_sent", 0L)).sum();
         var late = site.world.lateness();
         return new Outcome(site.deployment, seed, ended, startedAt, scenario.length().micros(),
-            clients.roots().stream().filter(r -> r.arrival.at() >= 0).toList(), troubles, serverSamples, usage, counters, site.referee.verdict(),
+            clients.roots().stream().filter(r -> r.arrival.at() >= 0).toList(), troubles, serverSamples, usage,
+            counters, site.referee.verdict(),
             new long[] {late.getValueAtPercentile(50), late.getValueAtPercentile(99), late.getMaxValue()}, labCpu,
             probes, site.referee.dispatches(), servers.values().stream().mapToLong(ServerHost::crossings).sum(),
             new Outcome.BadClientCount(badClients.sent(), badClients.neglected(), badClients.served()));
--- a/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
+++ b/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
@@ -8,7 +8,6 @@
 import calicochute.lab.server.MachineSpec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -98,11 +97,7 @@
                 throw new IOException("the balancer was not ready within " + START_LIMIT_S + " s");
             }
             InetSocketAddress behind = server.address(spec.zone());
-            InetSocketAddress relay;
-            java.net.InetAddress host = site.nextAddress();
-            try (ServerSocket free = new ServerSocket(0, 1, host)) {
-                relay = new InetSocketAddress(host, free.getLocalPort());
-            }
+            InetSocketAddress relay = site.freeAddress();
             List<String> command = new ArrayList<>(relayCommand);
             command.add(Site.text(relay));
             command.add(Site.text(behind));
@@ -175,7 +170,7 @@
         site.world.post(() -> {
             long begin = site.world.now() + 50_000;
             long[] open = new long[1];
-            send(route, times, rate, begin, begin + micros, begin, counts, open, over);
+            send(route, times, rate, begin + micros, begin, counts, open, over);
         });
         if (!over.await(micros / 1_000_000 + 20, TimeUnit.SECONDS)) {
             throw new IOException("the run did not end");
@@ -187,15 +182,15 @@
         }
     }
 
-    private void send(Route route, UniformRandomProvider times, double rate, long begin, long end, long at,
-                      boolean counts, long[] open, CountDownLatch over) {
+    private void send(Route route, UniformRandomProvider times, double rate, long end, long at, boolean counts,
+                      long[] open, CountDownLatch over) {
         long next = at + Math.round(Streams.exponential(times, 1e6 / rate));
         if (next >= end) {
             site.world.at(end, () -> awaitNone(open, over));
             return;
         }
         site.world.at(next, () -> {
-            send(route, times, rate, begin, end, next, counts, open, over);
+            send(route, times, rate, end, next, counts, open, over);
             open[0]++;
             route.caller.ask(request(), null, false, patience(), result -> {
                 open[0]--;
--- a/lab/src/main/java/calicochute/lab/emulator/ServerHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/ServerHost.java
@@ -159,8 +159,9 @@
         site.world.after((long) (SWEEP * chance.nextDouble()), () -> site.world.every(SWEEP, this::closeIdle));
     }
 
-    void callsThrough(Caller caller) {
-        next = caller;
+    /** Its way to the next tier from now on; null: none. */
+    void callsThrough(BalancerHost balancer) {
+        next = balancer == null ? null : new Caller(site, balancer.spec(), balancer.address(), 0, Integer.MAX_VALUE);
     }
 
     // ---- Life and death
@@ -416,8 +417,7 @@
             return;
         }
         Root root = job.request.root();
-        Request call = site.request(root, spec.tier() + 1, site.deployment.balancers().stream()
-            .filter(b -> spec.id().equals(b.owner())).findFirst().orElseThrow());
+        Request call = site.request(root, spec.tier() + 1, next.balancer());
         String key = ClientHost.key(site, root);
         next.ask(call, key, false, site.classOf(root).giveUp().micros(), result -> {
             if (jobs.get(job.id) != job) {
--- a/lab/src/main/java/calicochute/lab/emulator/Site.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Site.java
@@ -9,8 +9,10 @@
 import calicochute.lab.scenario.Scenario.RequestClass;
 import calicochute.lab.socket.Sockets;
 import calicochute.lab.world.World;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.UnknownHostException;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -54,6 +56,14 @@
         }
     }
 
+    /** A party's address with a port that nobody listens at. */
+    InetSocketAddress freeAddress() throws IOException {
+        InetAddress host = nextAddress();
+        try (ServerSocket free = new ServerSocket(0, 1, host)) {
+            return new InetSocketAddress(host, free.getLocalPort());
+        }
+    }
+
     static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/lab/src/main/java/calicochute/lab/emulator/Troubles.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Troubles.java
@@ -121,7 +121,7 @@
             return;
         }
         own.listeners(b -> {
-            server.callsThrough(new Caller(site, b.spec(), b.address(), 0, Integer.MAX_VALUE));
+            server.callsThrough(b);
             up(server);
         }, crash);
         own.start();
--- a/lab/src/main/java/calicochute/lab/plan/ArrivalPlan.java
+++ b/lab/src/main/java/calicochute/lab/plan/ArrivalPlan.java
@@ -8,12 +8,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.DoubleUnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * All first tries of a run, drawn ahead: an open loop, which no answer speeds up or holds back. The usual traffic is a
- * Poisson process with a slow wave, behind a lead-in at negative times that rises to it; each traffic jump is a further process from a stream of its own, so the usual
- * requests are the same with it and without.
+ * Poisson process with a slow wave, behind a lead-in at negative times that rises to it; each traffic jump is a further
+ * process from a stream of its own, so the usual requests are the same with it and without.
  */
 public final class ArrivalPlan {
     private static final double WAVE_S = 25;
@@ -36,16 +37,16 @@
         double mean = deployment.ratePerSecond();
         double length = scenario.length().seconds();
         List<Arrival> all = new ArrayList<>();
-        process("usual", 0, length, mean * (1 + scenario.load().swing()), (t, most) -> mean * wave(t), all);
+        process("usual", 0, length, mean * (1 + scenario.load().swing()), t -> mean * wave(t), all);
         double lead = scenario.leadIn().seconds();
-        process("lead-in", -lead, 0, mean, (t, most) -> mean * (t + lead) / lead, all);
+        process("lead-in", -lead, 0, mean, t -> mean * (t + lead) / lead, all);
         for (int i = 0; i < scenario.troubles().size(); i++) {
             Trouble trouble = scenario.troubles().get(i);
             if (trouble.kind() == Trouble.Kind.JUMP && trouble.factor() > 1) {
                 double from = trouble.at().seconds();
                 double extra = mean * (trouble.factor() - 1);
                 process("jump " + i, from, Math.min(length, from + trouble.lasts().seconds()),
-                    extra * (1 + scenario.load().swing()), (t, most) -> extra * wave(t), all);
+                    extra * (1 + scenario.load().swing()), t -> extra * wave(t), all);
             }
         }
         all.sort(Comparator.comparingLong(Arrival::at));
@@ -56,17 +57,13 @@
         return 1 + scenario.load().swing() * Math.sin(2 * Math.PI * t / WAVE_S);
     }
 
-    private interface Intensity {
-        double at(double seconds, double most);
-    }
-
     /** A Poisson process of changing rate, by thinning one of the highest rate (Lewis and Shedler 1979). */
-    private void process(String name, double from, double to, double most, Intensity rate, List<Arrival> into) {
+    private void process(String name, double from, double to, double most, DoubleUnaryOperator rate, List<Arrival> into) {
         UniformRandomProvider times = streams.of("arrivals " + name, 0);
         int index = 0;
         for (double t = from + Streams.exponential(times, 1 / most); t < to;
              t += Streams.exponential(times, 1 / most)) {
-            if (times.nextDouble() * most < rate.at(t, most)) {
+            if (times.nextDouble() * most < rate.applyAsDouble(t)) {
                 into.add(arrival(streams.of("request " + name, index++), t));
             }
         }
--- a/lab/src/main/java/calicochute/lab/plan/TroublePlan.java
+++ b/lab/src/main/java/calicochute/lab/plan/TroublePlan.java
@@ -10,7 +10,7 @@
 import org.apache.commons.rng.sampling.ListSampler;
 
 /** Which machines or balancers each trouble hits, drawn from the seed; both ends in microseconds from the run's start. */
-public record TroublePlan(Trouble trouble, int number, long from, long to, List<String> victims) {
+public record TroublePlan(Trouble trouble, long from, long to, List<String> victims) {
     public static List<TroublePlan> draw(Deployment deployment, Streams streams) {
         Scenario scenario = deployment.scenario();
         List<TroublePlan> plans = new ArrayList<>();
@@ -24,7 +24,7 @@
                 case ZONE -> List.of(trouble.zone());
                 case CLIENTS, DISCOVERY -> List.of();
             };
-            plans.add(new TroublePlan(trouble, i, trouble.at().micros(), end(trouble, victims.size()), victims));
+            plans.add(new TroublePlan(trouble, trouble.at().micros(), end(trouble, victims.size()), victims));
         }
         return plans;
     }
--- a/lab/src/main/java/calicochute/lab/scenario/Lines.java
+++ b/lab/src/main/java/calicochute/lab/scenario/Lines.java
@@ -39,16 +39,17 @@
         // An object or array that has just begun stands for the field it is the value of.
         String parent = field(at.getParent());
         if (at.inObject()) {
-            return at.getCurrentName() == null ? parent : parent + (parent.isEmpty() ? "" : ".") + at.getCurrentName();
+            return at.getCurrentName() == null ? parent : join(parent, at.getCurrentName());
         }
         return at.hasCurrentIndex() ? parent + "[" + at.getCurrentIndex() + "]" : parent;
     }
 
-    /** The field's line, else that of the nearest one around it. */
-    int of(JsonStreamContext at) {
-        return line(field(at));
+    /** The name of a field within another one. */
+    static String join(String parent, String name) {
+        return parent.isEmpty() ? name : parent + "." + name;
     }
 
+    /** The field's line, else that of the nearest one around it. */
     int line(String field) {
         String name = field;
         while (!name.isEmpty()) {
--- a/lab/src/main/java/calicochute/lab/scenario/ScenarioCheck.java
+++ b/lab/src/main/java/calicochute/lab/scenario/ScenarioCheck.java
@@ -40,7 +40,7 @@
     /** Every annotated component of a record, its records and its lists of records. */
     private void bounds(String at, Object record) {
         for (RecordComponent component : record.getClass().getRecordComponents()) {
-            String field = at + (at.isEmpty() ? "" : ".") + component.getName();
+            String field = Lines.join(at, component.getName());
             Object value;
             try {
                 value = component.getAccessor().invoke(record);
--- a/lab/src/main/java/calicochute/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/calicochute/lab/scenario/ScenarioReader.java
@@ -15,7 +15,6 @@
 import com.fasterxml.jackson.databind.deser.ValueInstantiator;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
-import com.fasterxml.jackson.databind.jsontype.TypeIdResolver;
 import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
@@ -121,7 +120,7 @@
         } else if (node.isObject() && type instanceof Class<?> record && record.isRecord()
             && !FORMS.containsKey(record)) {
             for (Map.Entry<String, JsonNode> entry : node.properties()) {
-                String field = at + (at.isEmpty() ? "" : ".") + entry.getKey();
+                String field = Lines.join(at, entry.getKey());
                 Arrays.stream(record.getRecordComponents()).filter(c -> c.getName().equals(entry.getKey())).findFirst()
                     .ifPresentOrElse(c -> unknown(field, entry.getValue(), c.getGenericType(), complain),
                         () -> complain.accept(field, "is not known; there are: " + Collector.fields(record)));
@@ -131,12 +130,12 @@
 
     /** The field at which Jackson gave up. */
     private static String field(JsonMappingException e) {
-        StringBuilder field = new StringBuilder();
+        String field = "";
         for (JsonMappingException.Reference step : e.getPath()) {
-            field.append(step.getFieldName() == null ? "[" + step.getIndex() + "]"
-                : (field.isEmpty() ? "" : ".") + step.getFieldName());
+            field = step.getFieldName() == null ? field + "[" + step.getIndex() + "]"
+                : Lines.join(field, step.getFieldName());
         }
-        return field.toString();
+        return field;
     }
 
     private static String rule(JsonMappingException e) {
@@ -252,11 +251,5 @@
             Throwable root = cause.getCause() == null ? cause : cause.getCause();
             return note(context.getParser(), root.getMessage());
         }
-
-        @Override
-        public JavaType handleUnknownTypeId(DeserializationContext context, JavaType base, String id,
-                                            TypeIdResolver resolver, String failure) {
-            return null;
-        }
     }
 }
--- a/lab/src/main/java/calicochute/lab/server/ServerModel.java
+++ b/lab/src/main/java/calicochute/lab/server/ServerModel.java
@@ -293,19 +293,10 @@
         return sluggish.sluggish();
     }
 
-    public boolean cold() {
-        return cold;
-    }
-
     public double informedShare() {
         return budget.informedShare();
     }
 
-    /** Work done since its start, in microseconds. */
-    public double workDone() {
-        return workDone;
-    }
-
     public int inWork() {
         return held;
     }
--- a/lab/src/main/java/calicochute/lab/socket/Blackhole.java
+++ b/lab/src/main/java/calicochute/lab/socket/Blackhole.java
@@ -15,7 +15,6 @@
 public final class Blackhole implements AutoCloseable {
     /** A backlog of one holds two connections on Linux; more fillers than that stay half-open and do no harm. */
     private static final int FILLERS = 3;
-    private static final int TRIES = 200;
     private final ServerSocket listener = new ServerSocket();
     private final List<SocketChannel> fillers = new ArrayList<>();
 
@@ -37,15 +36,10 @@
             try {
                 listener.bind(address, 1);
             } catch (IOException e) {
-                if (i >= TRIES) {
-                    throw e;
-                }
-                try {
-                    Thread.sleep(5);
-                } catch (InterruptedException interrupted) {
-                    Thread.currentThread().interrupt();
+                if (i >= Sockets.LISTEN_TRIES) {
                     throw e;
                 }
+                Sockets.pause();
             }
         }
     }
--- a/lab/src/main/java/calicochute/lab/socket/Sockets.java
+++ b/lab/src/main/java/calicochute/lab/socket/Sockets.java
@@ -30,7 +30,8 @@
  */
 public final class Sockets implements AutoCloseable {
     private static final int READ_AT_ONCE = 1 << 16;
-    private static final int LISTEN_TRIES = 200;
+    /** An address whose former listener is just ending is free within this many pauses. */
+    static final int LISTEN_TRIES = 200;
     private static final IOReactorConfig CONFIG = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
         .setBacklogSize(1024).setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(10)).build();
     private final World world;
@@ -68,7 +69,7 @@
         }
     }
 
-    private static void pause() throws IOException {
+    static void pause() throws IOException {
         try {
             Thread.sleep(5);
         } catch (InterruptedException e) {
