Second address with figures, servers out by hand, clients sent away, and upgrades

A list of changes told to the module before its watch makes it think itself subscribed (Choice.list): an operator's change is then told as the old whole list.

Change: packages admin, outage, presence, takeover; Membership puts the operators' word on discovery's; one immutable Presence for quiesce and SIGTERM; the ban stands in a file under an OS lock before the yes goes out. A call that waits for a connection looks again before its first byte. The watch that is under way is not begun anew by a second subscribe. The policy files are untouched.

--- /dev/null
+++ b/balancer/src/main/java/calicochute/admin/CallHandler.java
@@ -0,0 +1,144 @@
+package calicochute.admin;
+
+import calicochute.metrics.Counter;
+import calicochute.metrics.Log;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** One call on a connection of the second address: collects it, has it done, writes what came of it, and ends. */
+final class CallHandler implements AsyncServerExchangeHandler {
+    private static final int BODY_LIMIT = 4096;
+    private final AdminConnection connection;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private HttpRequest request;
+    private ResponseChannel channel;
+    private HttpContext context;
+    private volatile ByteBuffer answer = ByteBuffer.allocate(0);
+    private boolean begun;
+
+    CallHandler(AdminConnection connection) {
+        this.connection = connection;
+    }
+
+    @Override
+    public void handleRequest(HttpRequest head, EntityDetails entity, ResponseChannel out, HttpContext ctx)
+            throws HttpException, IOException {
+        request = head;
+        channel = out;
+        context = ctx;
+        if (entity == null) {
+            begin();
+        } else if (entity.getContentLength() > BODY_LIMIT) {
+            respond(413, "body over " + BODY_LIMIT + " bytes");
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer data) throws IOException {
+        if (body.size() + data.remaining() > BODY_LIMIT) {
+            throw new IOException("body over " + BODY_LIMIT + " bytes");
+        }
+        byte[] bytes = new byte[data.remaining()];
+        data.get(bytes);
+        body.write(bytes, 0, bytes.length);
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        begin();
+    }
+
+    private void begin() {
+        if (begun) {
+            return;
+        }
+        Operations operations = connection.operations();
+        Call call = Call.read(request.getMethod(), request.getPath(), body.toString(StandardCharsets.UTF_8));
+        connection.whole();
+        connection.counters().count(call instanceof Call.Wrong ? Counter.ADMIN_CALLS_WRONG : Counter.ADMIN_CALLS);
+        if (call instanceof Call.Health) {
+            respond(operations.serves() ? 200 : 503, operations.serves() ? "serving" : "not yet");
+        } else if (call instanceof Call.Stats) {
+            respond(200, operations.figures());
+        } else if (call instanceof Call.Cordon cordon) {
+            operations.takeOut(cordon.host(), r -> ended("cordon " + cordon.host(), r));
+        } else if (call instanceof Call.Uncordon uncordon) {
+            operations.callBack(uncordon.host(), r -> ended("uncordon " + uncordon.host(), r));
+        } else if (call instanceof Call.Quiesce) {
+            operations.quiesce(r -> ended("quiesce", r));
+        } else if (call instanceof Call.Resume) {
+            operations.resume(r -> ended("resume", r));
+        } else if (call instanceof Call.Wrong wrong) {
+            respond(wrong.status(), wrong.why());
+        }
+    }
+
+    private void ended(String what, Operations.Result result) {
+        Log.info("admin", what + " " + result);
+        switch (result) {
+            case DONE -> respond(200, "done");
+            case NO_SUCH_SERVER -> respond(404, "never listed");
+            default -> respond(503, "not done; the log says why");
+        }
+    }
+
+    private void respond(int status, String text) {
+        begun = true;
+        byte[] bytes = (text.endsWith("\n") ? text : text + "\n").getBytes(StandardCharsets.UTF_8);
+        HttpResponse response = new BasicHttpResponse(status);
+        response.addHeader("Content-Type", "text/plain; charset=utf-8");
+        response.addHeader("Connection", "close");
+        response.addHeader("Content-Length", Integer.toString(bytes.length));
+        answer = ByteBuffer.wrap(bytes);
+        try {
+            channel.sendResponse(response, new BasicEntityDetails(bytes.length, null), context);
+        } catch (HttpException | IOException | IllegalStateException e) {
+            Log.info("admin-answer-not-sent", String.valueOf(e.getMessage()));
+        }
+    }
+
+    @Override
+    public int available() {
+        return answer.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel out) throws IOException {
+        if (answer.hasRemaining()) {
+            out.write(answer);
+            if (!answer.hasRemaining()) {
+                out.endStream();
+            }
+        }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        // The caller has gone: what was asked is done all the same.
+    }
+
+    @Override
+    public void releaseResources() {
+        // Nothing is held.
+    }
+}
--- a/balancer/src/main/java/calicochute/backend/BackendServer.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServer.java
@@ -10,6 +10,8 @@
     final Pool<Connection> pool;
     /** No longer listed, or listed at another address: nothing is kept for it any more. */
     boolean gone;
+    /** Discovery or an operator wants it out: no call is begun on it. */
+    boolean unwanted;
 
     /** Until then its connections serve one call each. */
     private long waryUntil;
--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -80,6 +80,14 @@
         }
     }
 
+    /** Whether calls may be begun on a server that is known. */
+    public void wanted(String server, boolean wanted) {
+        BackendServer known = servers.get(server);
+        if (known != null) {
+            known.unwanted = !wanted;
+        }
+    }
+
     /** Forgets a server that is gone; what is out there ends by itself. */
     public void forget(String server) {
         BackendServer known = servers.remove(server);
@@ -103,7 +111,7 @@
         counters.count(Counter.DISPATCHES_SENT);
         Message message = dispatch.exchange.message;
         Errand errand = new Errand(servers.get(dispatch.server), request(message, timeout), message.body(),
-            (outcome, reply) -> {
+            listener::dispatchWritten, (outcome, reply) -> {
                 out.remove(dispatch);
                 listener.dispatchEnded(dispatch, outcome, answer(outcome, reply),
                     reply == null ? null : LoadReport.parse(reply.header(LOAD), reportFields));
@@ -127,7 +135,7 @@
         BackendServer target = servers.get(server);
         HttpRequest request = new BasicHttpRequest("GET", "/status/load");
         request.addHeader("Host", target.address.getHostString() + ":" + target.address.getPort());
-        new Errand(target, request, new byte[0], (outcome, reply) -> listener.probeEnded(server, outcome,
+        new Errand(target, request, new byte[0], () -> { }, (outcome, reply) -> listener.probeEnded(server, outcome,
             queue.now() - from, outcome != Outcome.OK ? null
                 : LoadReport.parse(new String(reply.body(), StandardCharsets.US_ASCII), reportFields))).start(timeout);
     }
@@ -286,6 +294,7 @@
         private final BackendServer server;
         private final HttpRequest request;
         private final byte[] body;
+        private final Runnable written;
         private final Ending ending;
         private Connection connection;
         private DecisionQueue.Alarm timeout;
@@ -294,10 +303,12 @@
         private long calledAt;
         private boolean ended;
 
-        Errand(BackendServer server, HttpRequest request, byte[] body, Ending ending) {
+        /** @param written told on an I/O thread when the request's last byte has been written */
+        Errand(BackendServer server, HttpRequest request, byte[] body, Runnable written, Ending ending) {
             this.server = server;
             this.request = request;
             this.body = body;
+            this.written = written;
             this.ending = ending;
         }
 
@@ -358,9 +369,15 @@
         }
 
         private void call(boolean reused) {
+            if (server.unwanted) {
+                // Guards against a call that waited for its connection while its server was taken out.
+                counters.count(Counter.DISPATCHES_HELD_BACK);
+                end(Outcome.MOOT, null);
+                return;
+            }
             called = true;
             calledAt = queue.now();
-            connection.call(request, body, Bounds.BODY, reply -> queue.post(() -> replied(reply, reused)));
+            connection.call(request, body, Bounds.BODY, written, reply -> queue.post(() -> replied(reply, reused)));
         }
 
         private void replied(Reply reply, boolean reused) {
--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -6,9 +6,11 @@
 import calicochute.node.Node;
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
+import calicochute.takeover.InheritedSocket;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
+import java.nio.file.Path;
 
 /** Runs one real balancer until it is told to stop. */
 @Parameters(commandDescription = "Run one balancer on real sockets")
@@ -20,7 +22,7 @@
     public void run() throws SettingsException, IOException, InterruptedException {
         Configuration told = configuration.read();
         Counters counters = new Counters();
-        Node node = new Node(told, counters);
+        Node node = new Node(told, counters, InheritedSocket.get(), shared());
         // Before the start: without a handler SIGHUP ends a Java program, and /ready may say 200 as soon as it listens.
         Hangup.handle(() -> reload(node, counters));
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
@@ -28,6 +30,12 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
     }
 
+    /** The folder that outlives a process and is the balancer's own; none unless the platform names one. */
+    private static Path shared() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
     /** On SIGHUP: the file is read anew; one that can't be used changes nothing. */
     private void reload(Node node, Counters counters) {
         try {
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -27,9 +27,11 @@
     private final HttpRequest request;
     private final ByteBuffer body;
     private final int bodyLimit;
+    private final Runnable written;
     private final Consumer<Reply> end;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    private final AtomicBoolean writtenTold = new AtomicBoolean();
     private EndpointDetails endpoint;
     private long sentBefore;
     private HttpResponse response;
@@ -37,10 +39,11 @@
     private boolean whole;
     private boolean reusable;
 
-    Call(HttpRequest request, byte[] body, int bodyLimit, Consumer<Reply> end) {
+    Call(HttpRequest request, byte[] body, int bodyLimit, Runnable written, Consumer<Reply> end) {
         this.request = request;
         this.body = ByteBuffer.wrap(body);
         this.bodyLimit = bodyLimit;
+        this.written = written;
         this.end = end;
     }
 
@@ -130,13 +133,21 @@
 
     private void end() {
         if (ended.compareAndSet(false, true)) {
+            wrote();
             long sent = endpoint.getSentBytesCount() - sentBefore;
-            boolean written = sent >= headLength() + body.capacity();
-            end.accept(new Reply(whole ? response : null, answer.toByteArray(), sent > 0, written,
+            end.accept(new Reply(whole ? response : null, answer.toByteArray(), sent > 0, writtenTold.get(),
                 whole && reusable && !body.hasRemaining()));
         }
     }
 
+    /** Some output has been written: tells once if the last byte of this was among it. */
+    void wrote() {
+        if (!writtenTold.get() && endpoint.getSentBytesCount() - sentBefore >= headLength() + body.capacity()
+            && writtenTold.compareAndSet(false, true)) {
+            written.run();
+        }
+    }
+
     /** The bytes of the request's head as HttpCore writes it. */
     private long headLength() {
         long length = request.getMethod().length() + request.getPath().length() + " HTTP/1.1\r\n".length() + 1;
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -17,6 +17,7 @@
     private volatile boolean closed;
     private volatile boolean awaitsAnswer;
     private volatile boolean spoilt;
+    private volatile Call latest;
 
     Connection(Consumer<Connection> onClosed) {
         this.onClosed = onClosed;
@@ -40,12 +41,26 @@
 
     /** Sends one request; {@code end} hears on an I/O thread how it ended. */
     public void call(HttpRequest request, byte[] body, int bodyLimit, Consumer<Reply> end) {
+        call(request, body, bodyLimit, () -> { }, end);
+    }
+
+    /** The same; {@code written} hears on an I/O thread when the last byte has been written, if it ever is. */
+    public void call(HttpRequest request, byte[] body, int bodyLimit, Runnable written, Consumer<Reply> end) {
         awaitsAnswer = true;
-        Call call = new Call(request, body, bodyLimit, end);
+        Call call = new Call(request, body, bodyLimit, written, end);
+        latest = call;
         call.on(((HttpConnection) session.getHandler()).getEndpointDetails());
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
+    /** Output has been written; on the I/O thread. */
+    void wrote() {
+        Call call = latest;
+        if (call != null) {
+            call.wrote();
+        }
+    }
+
     /** True from a call until the head of its final answer. */
     boolean awaitsAnswer() {
         return awaitsAnswer;
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -1,6 +1,7 @@
 package calicochute.connection;
 
 import calicochute.settings.Bounds;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
@@ -64,7 +65,7 @@
 
                 @Override
                 public void cancelled() {
-                    failed.accept(new java.io.IOException("cancelled"));
+                    failed.accept(new IOException("cancelled"));
                 }
             });
         return connection;
@@ -75,6 +76,12 @@
         Connection connection = (Connection) attachment;
         return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexerFactory(PROCESSOR, LIMITS,
             CharCodingConfig.DEFAULT, null, () -> new AnswerGuard(connection), null, null).create(session)) {
+            @Override
+            public void outputReady(IOSession ready) throws IOException {
+                super.outputReady(ready);
+                connection.wrote();
+            }
+
             @Override
             public void disconnected(IOSession ended) {
                 super.disconnected(ended);
--- a/balancer/src/main/java/calicochute/discovery/Discovery.java
+++ b/balancer/src/main/java/calicochute/discovery/Discovery.java
@@ -45,12 +45,13 @@
         generation = known;
     }
 
+    /** Begins the watch, or ends it; one that is under way goes on. */
     public void subscribe(boolean on) {
-        if (watch != null) {
+        if (watch != null && !on) {
             watch.close();
             watch = null;
         }
-        if (on) {
+        if (on && watch == null) {
             told = false;
             Query next = new Query(this::watched);
             watch = next;
@@ -71,6 +72,7 @@
         if (!to.equals(address)) {
             address = to;
             failedAt = 0;
+            subscribe(false);
             subscribe(true);
         }
     }
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -4,6 +4,8 @@
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.IllegalBlockingModeException;
+import java.nio.channels.SocketChannel;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -31,6 +33,8 @@
     private static final long REQUEST_MS = 2000;
     /** A connection with no request open is kept this long. */
     private static final long IDLE_MS = 10_000;
+    /** An answer just given is still on its way out. */
+    private static final long SETTLE_MS = 50;
     /** What has had its last answer is ended this much later, if the client has not done so. */
     private static final long LINGER_MS = 250;
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().add(new RequestValidateHost()).build();
@@ -129,11 +133,32 @@
 
     @Override
     public void timeout(IOSession session, Timeout timeout) throws IOException {
+        if (state.frontend.endsIdle() && bytesWait()) {
+            // They are read next, and answered.
+            state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
+            return;
+        }
         if (!state.owesAnswer()) {
             close(state.receiving ? Counter.CLIENTS_CLOSED_SLOW : Counter.CLIENTS_CLOSED_IDLE);
         }
     }
 
+    /** Guards against a request that crosses the connection's end: true if bytes have come that were not read yet. */
+    private boolean bytesWait() {
+        try {
+            return ((SocketChannel) state.session.channel()).socket().getInputStream().available() > 0;
+        } catch (IOException | IllegalBlockingModeException e) {
+            return false;
+        }
+    }
+
+    /** Asks the I/O thread to end it if nothing is asked or owed on it; any thread may call. */
+    void endIfIdle() {
+        if (idleMs() >= SETTLE_MS || silentMs() >= Frontend.SILENT_MS) {
+            state.session.setSocketTimeout(Timeout.ONE_MILLISECOND);
+        }
+    }
+
     /** No request has come whole since it was opened, and for how long; negative otherwise. */
     long silentMs() {
         return state.receiving && state.latest == null ? state.ageMs() : -1;
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -5,22 +5,18 @@
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
+import calicochute.presence.Presence;
 import calicochute.settings.Configuration;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.apache.hc.core5.function.Callback;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.io.Closer;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 
 /** The clients' side: an HTTP server whose requests become exchanges. One I/O thread carries all connections. */
@@ -28,10 +24,8 @@
     private static final String READY = "/ready";
     private static final String COUNTERS = "/counters";
     /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
-    private static final long SILENT_MS = 250;
+    static final long SILENT_MS = 250;
     private static final long IDLE_MS = 2000;
-    private static final long PAUSE_MS = 50;
-    private static final long LISTEN_MS = 2000;
     private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
         .setBacklogSize(1024).setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build();
     private final SessionReader reader;
@@ -40,108 +34,46 @@
     private final Counters counters;
     private final BooleanSupplier ready;
     private final Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
-    private InetSocketAddress address;
-    private DefaultListeningIOReactor reactor;
-    private Thread acceptor;
-    private volatile ListenerEndpoint listener;
+    private final Listening listening;
     private final int room;
     /** Clients' connections, the oldest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int connected;
-    private volatile boolean closing;
-    private volatile boolean stopped;
+    private final Supplier<Presence> presence;
 
-    public Frontend(Configuration configuration, DecisionQueue clock, Sessions sessions, Counters counters,
-                    BooleanSupplier ready) {
+    /** @param inherited the socket that listens for clients already, or null to listen at the configuration's address */
+    public Frontend(Configuration configuration, ServerSocketChannel inherited, DecisionQueue clock, Sessions sessions,
+                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence) throws IOException {
         reader = new SessionReader(configuration.settings());
         this.clock = clock;
         this.sessions = sessions;
         this.counters = counters;
         this.ready = ready;
+        this.presence = presence;
         room = configuration.bounds().clientConnections();
+        IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
+        listening = inherited == null ? new BoundListening(configuration.listen(), handlers, REACTOR, onFault, counters)
+            : new InheritedListening(inherited, handlers, REACTOR, onFault);
     }
 
     /** Starts to listen and returns the address in use. */
-    public InetSocketAddress start(InetSocketAddress at) throws IOException, InterruptedException {
-        address = at;
-        listen();
-        return (InetSocketAddress) listener.getAddress();
+    public InetSocketAddress start() throws IOException, InterruptedException {
+        return listening.start();
     }
 
-    private synchronized void listen() throws IOException, InterruptedException {
-        if (stopped) {
-            return;
-        }
-        Thread[] accepting = new Thread[1];
-        DefaultListeningIOReactor next = new DefaultListeningIOReactor(
-            (session, attachment) -> ClientConnection.on(session, this, onFault), REACTOR,
-            task -> new Thread(task, "frontend-io"),
-            task -> accepting[0] = new Thread(() -> {
-                task.run();
-                listenAgain();
-            }, "frontend-accept"), null, onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
-        next.start();
-        try {
-            // HttpCore never completes this if there is no descriptor for the listening socket.
-            listener = next.listen(address, null).get(LISTEN_MS, TimeUnit.MILLISECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            next.close(CloseMode.IMMEDIATE);
-            throw new IOException("cannot listen at " + address + ": "
-                + (e.getCause() == null ? "no answer" : e.getCause().getMessage()), e);
-        }
-        if (reactor != null) {
-            // Its connections go on to the ends of their answers.
-            reactor.initiateShutdown();
-        }
-        reactor = next;
-        acceptor = accepting[0];
-    }
-
-    private synchronized boolean acceptorEnded() {
-        return !stopped && acceptor == Thread.currentThread();
+    /** Takes no more connections; what is being answered goes on to its end. */
+    public void stopAccepting() {
+        listening.stopAccepting();
     }
 
-    /**
-     * Guards against HttpCore's acceptor, which ends at the first connection that there is no descriptor for: clients
-     * by the hundred in one moment can use them up before the first is closed.
-     */
-    private void listenAgain() {
-        while (acceptorEnded()) {
-            try {
-                Thread.sleep(PAUSE_MS);
-                listen();
-                counters.count(Counter.ACCEPTOR_RESTARTS);
-                Log.warn("acceptor-restarted", "connections=" + connected);
-                return;
-            } catch (IOException | IllegalStateException e) {
-                Log.info("acceptor-waits", String.valueOf(e.getMessage()));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
-        }
-    }
-
-    /** From now on each answer is the last on its connection. */
-    public void closeAfterAnswers() {
-        closing = true;
-    }
-
-    /** Takes no more connections and closes the idle ones; what is being answered goes on to its end. */
-    public void stopListening() {
-        stopped = true;
-        DefaultListeningIOReactor last = last();
-        Closer.closeQuietly(listener);
-        last.initiateShutdown();
-    }
-
-    private synchronized DefaultListeningIOReactor last() {
-        return reactor;
+    /** Has each connection looked at on which nothing is asked or owed: its I/O thread ends it if nothing has come in. */
+    public synchronized void endIdle() {
+        connections.forEach(ClientConnection::endIfIdle);
     }
 
     @Override
     public void close() {
-        last().close(CloseMode.GRACEFUL);
+        listening.close();
     }
 
     boolean answersItself(String path) {
@@ -150,7 +82,7 @@
 
     /** The text of a page of our own; null while not ready. */
     String page(String path) {
-        return path.equals(COUNTERS) ? counters.text() : ready.getAsBoolean() && !closing ? "ready\n" : null;
+        return path.equals(COUNTERS) ? counters.text() : ready.getAsBoolean() && presence.get().ready() ? "ready\n" : null;
     }
 
     SessionReader reader() {
@@ -201,8 +133,16 @@
         return idle == null ? newcomer : idle;
     }
 
+    public int connected() {
+        return connected;
+    }
+
+    boolean endsIdle() {
+        return presence.get().endsIdle(now());
+    }
+
     /** Whether an answer is to be its connection's last: at the end, and when room is getting short. */
     boolean closing() {
-        return closing || connected > room * 3 / 4;
+        return presence.get().lastAnswers() || connected > room * 3 / 4;
     }
 }
--- /dev/null
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -0,0 +1,155 @@
+package calicochute.node;
+
+import calicochute.admin.Operations.Result;
+import calicochute.backend.BackendServers;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendList;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.discovery.ListListener;
+import calicochute.discovery.ServerList;
+import calicochute.exchange.DecisionQueue;
+import calicochute.metrics.Figures;
+import calicochute.metrics.Log;
+import calicochute.outage.OutageFile;
+import calicochute.outage.Outages;
+import calicochute.outage.Overlay;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/**
+ * What the module is told of backend servers: discovery's word with the operators' on top. The file that holds the latter is
+ * read and written on a thread of its own; all else happens on the decision thread.
+ */
+final class Membership implements ListListener {
+    /** How often the file is looked at: another process of this balancer may have changed it. */
+    private static final long LOOK_MS = 100;
+    private final BackendServers backend;
+    private final Figures figures;
+    private final DecisionQueue queue;
+    private final Consumer<BackendList> module;
+    private final OutageFile file;
+    private final Overlay overlay = new Overlay();
+    private final ScheduledExecutorService files =
+        Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "outage-file"));
+    private Outages seen = Outages.NONE;
+    /** The module takes itself to be subscribed: it may be told of changes. Otherwise changes would make it think so. */
+    private boolean subscribed;
+    private volatile boolean any;
+
+    Membership(BackendServers backend, Figures figures, DecisionQueue queue, OutageFile file,
+               Consumer<BackendList> module) {
+        this.backend = backend;
+        this.figures = figures;
+        this.queue = queue;
+        this.file = file;
+        this.module = module;
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** True once a list with a server on it has been held. */
+    boolean any() {
+        return any;
+    }
+
+    // ---- Discovery's word
+
+    void restored(ServerList known) {
+        list(ListKind.RESTORED, known);
+    }
+
+    @Override
+    public void listed(ServerList list) {
+        Log.info("list", "generation=" + list.generation() + " whole=" + list.whole() + " entries="
+            + list.entries().size());
+        list(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+    }
+
+    @Override
+    public void unavailable() {
+        subscribed = false;
+        module.accept(new BackendList(ListKind.UNAVAILABLE, List.of()));
+    }
+
+    private void list(ListKind kind, ServerList list) {
+        list.addresses().forEach(backend::address);
+        List<Backend> entries = overlay.told(kind != ListKind.CHANGES, list.entries());
+        tell(kind, entries);
+        if (kind != ListKind.CHANGES) {
+            backend.keepOnly(list.addresses().keySet());
+        }
+        list.entries().stream().filter(e -> e.state() == BackendState.GONE).forEach(e -> backend.forget(e.id()));
+        any |= !list.addresses().isEmpty();
+    }
+
+    private void tell(ListKind kind, List<Backend> entries) {
+        subscribed = kind != ListKind.RESTORED;
+        // Before the module acts on it: what waits for a connection is looked at once more before its first byte.
+        entries.forEach(e -> backend.wanted(e.id(), e.state() == BackendState.READY));
+        module.accept(new BackendList(kind, entries));
+        figures.members(overlay.members(), overlay.unwanted());
+    }
+
+    // ---- The operators' word
+
+    /** Reads what the processes before this one left, and goes on looking. Before the start. */
+    void readOutages() {
+        look();
+        files.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void look() {
+        try {
+            Outages now = file.read();
+            if (!now.equals(seen)) {
+                seen = now;
+                queue.post(() -> take(now));
+            }
+        } catch (IOException e) {
+            Log.warn("outages-not-read", String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** {@code done} hears of it once the file says so and the module has been told. */
+    void change(String server, UnaryOperator<Outages> how, Consumer<Result> done) {
+        queue.post(() -> {
+            if (overlay.everListed(server)) {
+                files.execute(() -> write(how, done));
+            } else {
+                done.accept(Result.NO_SUCH_SERVER);
+            }
+        });
+    }
+
+    private void write(UnaryOperator<Outages> how, Consumer<Result> done) {
+        try {
+            Outages now = file.change(how);
+            seen = now;
+            queue.post(() -> {
+                take(now);
+                done.accept(Result.DONE);
+            });
+        } catch (IOException e) {
+            Log.warn("outages-not-written", String.valueOf(e.getMessage()));
+            done.accept(Result.FAILED);
+        }
+    }
+
+    private void take(Outages now) {
+        List<Backend> changed = overlay.taken(now);
+        if (!changed.isEmpty()) {
+            Log.info("outages", "out=" + now.since().keySet());
+            tell(subscribed ? ListKind.CHANGES : ListKind.RESTORED, subscribed ? changed : overlay.all());
+        }
+    }
+}
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -1,14 +1,14 @@
 package calicochute.node;
 
+import calicochute.admin.AdminServer;
+import calicochute.admin.Operations;
 import calicochute.backend.BackendServers;
 import calicochute.backend.DispatchListener;
 import calicochute.connection.Connector;
 import calicochute.decision.Balancer;
-import calicochute.decision.Balancer.ListKind;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.Settings;
 import calicochute.discovery.Discovery;
-import calicochute.discovery.ListListener;
 import calicochute.discovery.ServerList;
 import calicochute.exchange.Answer;
 import calicochute.exchange.DecisionQueue;
@@ -18,26 +18,36 @@
 import calicochute.frontend.Frontend;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
+import calicochute.metrics.Figures;
 import calicochute.metrics.Log;
+import calicochute.outage.OutageFile;
+import calicochute.presence.Presence;
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
+import calicochute.takeover.Lives;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 
 /**
  * One real balancer: turns what the sockets bring into the module's events, and the module's actions into work for
  * the sockets. All but the start and the end happens on the decision thread.
  */
-public final class Node implements Sessions, DispatchListener, ListListener, Balancer.Actions {
+public final class Node implements Sessions, DispatchListener, Operations, Balancer.Actions {
     /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
     private static final long ANSWER_MARGIN = 15_000;
     /** Later still, and only if the module has not given up by itself, the session is ended for it. */
     private static final long GUARD_MARGIN = 5_000;
+    /** How often clients' connections are looked at while they are sent away. */
+    private static final long LOOK_AGAIN = 100_000;
     private static final long PROBE_TIMEOUT = 1_000_000;
     private final Configuration configuration;
     private final Settings settings;
@@ -46,15 +56,29 @@
     private final Connector connector = new Connector();
     private final BackendServers backend;
     private final Discovery discovery;
+    private final Membership membership;
     private final Frontend frontend;
+    private final AdminServer admin;
+    private final Lives lives;
+    private final Figures figures = new Figures();
     private final Balancer balancer;
     private final Map<Long, Exchange> open = new HashMap<>();
     private final Map<Long, DecisionQueue.Alarm> deadlines = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>();
     private volatile int unanswered;
-    private volatile boolean ready;
+    private volatile Presence presence = Presence.serving();
+    private volatile boolean listening;
 
-    public Node(Configuration configuration, Counters counters) {
+    public Node(Configuration configuration, Counters counters) throws IOException {
+        this(configuration, counters, null, null);
+    }
+
+    /**
+     * @param inherited the socket that listens for clients already, or null
+     * @param shared the folder that all processes of this balancer share, or null
+     */
+    public Node(Configuration configuration, Counters counters, ServerSocketChannel inherited, Path shared)
+            throws IOException {
         this.configuration = configuration;
         this.counters = counters;
         settings = configuration.settings();
@@ -62,16 +86,27 @@
         balancer = Balancer.create(settings);
         backend = new BackendServers(connector, queue, counters, settings.reportFields(),
             settings.limits().connectTimeout(), configuration.connectionIdle(), configuration.bounds(), this);
-        discovery = new Discovery(connector, queue, counters, configuration.discovery(), this);
-        frontend = new Frontend(configuration, queue, this, counters, () -> ready);
+        membership = new Membership(backend, figures, queue, new OutageFile(shared, configuration.name()), this::tell);
+        discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership);
+        frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence);
+        admin = configuration.admin() == null ? null : new AdminServer(this, counters);
+        lives = new Lives(shared, configuration.name());
+        settings.classes().forEach(c -> figures.listClass(c.name()));
     }
 
     /** Serves from now on; returns the address it listens at. */
     public InetSocketAddress start() throws IOException, InterruptedException, SettingsException {
         ServerList known = configuration.known().isEmpty() ? null : ServerList.parse(configuration.known());
         connector.start();
+        // Before the module hears of a server: one that is out by hand must not be sent to, not even at first.
+        membership.readOutages();
         queue.post(() -> restore(known));
-        return frontend.start(configuration.listen());
+        if (admin != null) {
+            Log.info("admin", "address=" + admin.start(configuration.admin()));
+        }
+        InetSocketAddress address = frontend.start();
+        listening = true;
+        return address;
     }
 
     /** Takes over what may change under load: discovery's address. All else stays as it was at the start. */
@@ -83,36 +118,60 @@
         });
     }
 
-    // ---- The list of servers
-
     private void restore(ServerList known) {
         if (known != null) {
             discovery.startFrom(known.generation());
         }
-        list(ListKind.RESTORED, known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
+        membership.restored(known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
+    }
+
+    // ---- What operators ask for
+
+    @Override
+    public boolean serves() {
+        return listening && membership.any();
     }
 
     @Override
-    public void listed(ServerList list) {
-        Log.info("list", "generation=" + list.generation() + " whole=" + list.whole() + " entries="
-            + list.entries().size());
-        list(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+    public String figures() {
+        return figures.text();
     }
 
     @Override
-    public void unavailable() {
-        tell(new Balancer.BackendList(ListKind.UNAVAILABLE, List.of()));
+    public void takeOut(String server, Consumer<Result> done) {
+        membership.change(server, o -> o.with(server, System.currentTimeMillis()), done);
+    }
+
+    @Override
+    public void callBack(String server, Consumer<Result> done) {
+        membership.change(server, o -> o.without(server), done);
+    }
+
+    @Override
+    public void quiesce(Consumer<Result> done) {
+        queue.post(() -> {
+            presence = presence.quiesce(queue.now());
+            endIdle();
+            done.accept(Result.DONE);
+        });
     }
 
-    private void list(ListKind kind, ServerList list) {
-        list.addresses().forEach(backend::address);
-        tell(new Balancer.BackendList(kind, list.entries()));
-        if (kind != ListKind.CHANGES) {
-            backend.keepOnly(list.addresses().keySet());
+    @Override
+    public void resume(Consumer<Result> done) {
+        queue.post(() -> {
+            presence = presence.resume();
+            done.accept(Result.DONE);
+        });
+    }
+
+    /** Ends clients' idle connections for as long as the presence says so. */
+    private void endIdle() {
+        if (presence.lastAnswers()) {
+            if (presence.endsIdle(queue.now())) {
+                frontend.endIdle();
+            }
+            queue.after(LOOK_AGAIN, this::endIdle);
         }
-        list.entries().stream().filter(e -> e.state() == Balancer.BackendState.GONE)
-            .forEach(e -> backend.forget(e.id()));
-        ready |= !list.addresses().isEmpty();
     }
 
     // ---- Sessions
@@ -129,6 +188,7 @@
 
     private void take(Exchange exchange) {
         counters.count(Counter.SESSIONS_TAKEN);
+        figures.taken();
         if (unanswered >= settings.limits().maxOpen()) {
             counters.count(Counter.SESSIONS_OVER_LIMIT);
             answer(exchange, new Answer.Denied(settings.limits().maxRetryAfter()));
@@ -138,6 +198,7 @@
             // Guards against a second copy: the first session of this name is still being worked on.
             counters.count(Counter.SESSIONS_BAD_INPUT);
             exchange.answer(new Answer.Repeated());
+            ended(exchange, Figures.End.FAILED);
             return;
         }
         open.put(exchange.id, exchange);
@@ -152,6 +213,7 @@
     private void gone(Exchange exchange) {
         if (!exchange.closed()) {
             counters.count(Counter.SESSIONS_CLIENT_GONE);
+            ended(exchange, Figures.End.GONE);
             exchange.abandon();
             tell(new Balancer.ClientGone(exchange.id));
             retire(exchange);
@@ -173,6 +235,8 @@
         if (exchange.answer(answer)) {
             counters.count(answer instanceof Answer.Served ? Counter.SESSIONS_SERVED
                 : answer instanceof Answer.Denied ? Counter.SESSIONS_DENIED : Counter.SESSIONS_FAILED);
+            ended(exchange, answer instanceof Answer.Served ? Figures.End.COMPLETED
+                : answer instanceof Answer.Denied ? Figures.End.REJECTED : Figures.End.FAILED);
             DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
             if (alarm != null) {
                 alarm.cancel();
@@ -181,6 +245,10 @@
         }
     }
 
+    private void ended(Exchange exchange, Figures.End how) {
+        figures.ended(settings.classes().get(exchange.classIndex).name(), how);
+    }
+
     /** Forgets a session that is closed and has no dispatch out. */
     private void retire(Exchange exchange) {
         if (exchange.closed() && !exchange.anyOut() && open.remove(exchange.id) != null) {
@@ -209,6 +277,11 @@
         retire(exchange);
     }
 
+    @Override
+    public void dispatchWritten() {
+        figures.dispatchWritten();
+    }
+
     @Override
     public void probeEnded(String server, Outcome outcome, long elapsed, double[] load) {
         if (outcome == Outcome.OK) {
@@ -306,14 +379,22 @@
 
     // ---- The end
 
-    /** Accepts a little longer, answers everything taken, and returns. */
+    /** Accepts a little longer, unless another process does; answers everything taken, and returns. */
     public void drain() throws InterruptedException {
-        Log.info("draining", "unanswered=" + unanswered);
-        frontend.closeAfterAnswers();
-        Thread.sleep(550);
-        frontend.stopListening();
+        CountDownLatch begun = new CountDownLatch(1);
+        queue.post(() -> {
+            presence = presence.end(queue.now(), lives.other());
+            endIdle();
+            begun.countDown();
+        });
+        begun.await();
+        Log.info("draining", "unanswered=" + unanswered + " accompanied=" + presence.accompanied());
+        while (presence.accepts(queue.now())) {
+            Thread.sleep(10);
+        }
+        frontend.stopAccepting();
         long latest = System.nanoTime() + 10_000_000_000L;
-        while (unanswered > 0 && System.nanoTime() < latest) {
+        while ((unanswered > 0 || frontend.connected() > 0) && System.nanoTime() < latest) {
             Thread.sleep(10);
         }
         frontend.close();
--- /dev/null
+++ b/balancer/src/main/java/calicochute/outage/OutageFile.java
@@ -0,0 +1,70 @@
+package calicochute.outage;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.function.UnaryOperator;
+
+/**
+ * The one place where the operators' word stands for all processes of a balancer: a file written beside and renamed, changed
+ * under an OS file lock. Without a folder the word is kept in memory alone. All on one thread.
+ */
+public final class OutageFile {
+    private final Path file;
+    private final Path lock;
+    private Outages held = Outages.NONE;
+    private Object seenKey;
+
+    /** @param folder the folder that the processes share, or null */
+    public OutageFile(Path folder, String balancer) {
+        String name = "calicochute-" + balancer.replaceAll("[^A-Za-z0-9._-]", "_");
+        file = folder == null ? null : folder.resolve(name + ".out");
+        lock = folder == null ? null : folder.resolve(name + ".out.lock");
+    }
+
+    /** What the file says now; what it said last where it is missing, torn or foreign. */
+    public Outages read() throws IOException {
+        if (file == null) {
+            return held;
+        }
+        try {
+            BasicFileAttributes now = Files.readAttributes(file, BasicFileAttributes.class);
+            Object key = now.fileKey() + " " + now.lastModifiedTime() + " " + now.size();
+            if (!key.equals(seenKey)) {
+                Outages read = Outages.parse(Files.readString(file));
+                held = read == null ? held : read;
+                seenKey = key;
+            }
+        } catch (NoSuchFileException e) {
+            seenKey = null;
+        }
+        return held;
+    }
+
+    /** Changes the operators' word for all processes; when this returns, the file says so. */
+    public Outages change(UnaryOperator<Outages> how) throws IOException {
+        if (file == null) {
+            held = how.apply(held);
+            return held;
+        }
+        try (FileChannel channel = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+             FileLock ours = channel.lock()) {
+            assert ours.isValid();
+            Outages next = how.apply(read());
+            if (!next.equals(held) || seenKey == null) {
+                Path beside = file.resolveSibling(file.getFileName() + ".new");
+                Files.writeString(beside, next.text());
+                Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                held = next;
+                seenKey = null;
+            }
+            return held;
+        }
+    }
+}
--- a/balancer/src/main/java/calicochute/settings/Bounds.java
+++ b/balancer/src/main/java/calicochute/settings/Bounds.java
@@ -12,11 +12,17 @@
     public static final int FIELDS = 64;
     /** What one connection reads at a time. */
     public static final int BUFFER = 4096;
+    /** Connections to the second address, for its staff and those who only sit on them. */
+    public static final int ADMIN_CONNECTIONS = 32;
+    /** What the second address needs beside its connections: its selectors and its listener. */
+    private static final int ADMIN_OWN = 8;
     private static final int SET_ASIDE = 48;
     private static final int FEWEST = 16;
 
-    public static Bounds of(int sockets) {
-        int each = Math.max(FEWEST, (sockets - SET_ASIDE) / 2);
+    /** @param admin whether there is a second address */
+    public static Bounds of(int sockets, boolean admin) {
+        int aside = SET_ASIDE + (admin ? ADMIN_CONNECTIONS + ADMIN_OWN : 0);
+        int each = Math.max(FEWEST, (sockets - aside) / 2);
         return new Bounds(each, each);
     }
 }
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -17,10 +17,13 @@
 
 /**
  * All that one real balancer is told. {@code known} is the list as it last had it, in discovery's form;
+ * {@code admin} is the second address, or null;
  * {@code connectionIdle} is the time in microseconds after which a backend server drops an idle connection.
  */
-public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, Bounds bounds,
-                            long connectionIdle, String known, Settings settings) {
+public record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin,
+                            InetSocketAddress discovery, Bounds bounds, long connectionIdle, String known,
+                            Settings settings) {
+    private static final String ADMIN_VARIABLE = "PROXY_ADMIN_ADDR";
     private static final int DEFAULT_SOCKETS = 1024;
     private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
 
@@ -36,9 +39,12 @@
                 throw new SettingsException("settings name no classes");
             }
             JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
+            String admin = root.has("admin_addr") ? text(root, "admin_addr") : System.getenv(ADMIN_VARIABLE);
             return new Configuration(text(root, "name"), address("listen", text(root, "listen")),
+                admin == null || admin.isEmpty() ? null : address("admin_addr", admin),
                 address("discovery", text(root, "discovery")),
-                Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS),
+                Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
+                    admin != null && !admin.isEmpty()),
                 Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
                 root.has("known") ? root.get("known").toString() : "", settings);
         } catch (IOException e) {
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -33,6 +34,8 @@
         "fall_multiple":3.0},"tick":5000,"zone":"a"}""";
     final Process process;
     final int port;
+    /** The second address's port, or 0. */
+    final int admin;
     final Path config;
     private final Path log;
 
@@ -42,28 +45,54 @@
 
     /** {@code shell} goes before the command, such as a limit to run under. */
     Program(String shell, int sockets, Peer discovery, Peer... servers) throws Exception {
+        this(shell, sockets, 0, discovery, servers);
+    }
+
+    /** With a second address. */
+    static Program withAdmin(Peer discovery, Peer... servers) throws Exception {
+        return new Program("", 1024, freePort(), discovery, servers);
+    }
+
+    static int freePort() throws IOException {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = probe.getLocalPort();
+            return probe.getLocalPort();
         }
+    }
+
+    private Program(String shell, int sockets, int admin, Peer discovery, Peer... servers) throws Exception {
+        port = freePort();
+        this.admin = admin;
         config = Files.createTempFile("calicochute", ".json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\""
-            + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list(1, "Ready", servers) + ",\"settings\":"
-            + SETTINGS + "}");
+        Files.writeString(config, configuration(port, admin, sockets, discovery, servers));
         log = Files.createTempFile("calicochute", ".log");
         process = start(shell, log, "serve", "--config", config.toString());
         await("ready", () -> send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200);
     }
 
-    /** Starts the program with assertions on, as built, and sends what it prints to a file. */
-    static Process start(Path log, String... arguments) throws IOException {
-        return start("", log, arguments);
+    /** A configuration file's text; {@code admin} 0 for no second address. */
+    static String configuration(int port, int admin, int sockets, Peer discovery, Peer... servers) {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\"," + (admin == 0 ? ""
+            : "\"admin_addr\":\"127.0.0.1:" + admin + "\",") + "\"discovery\":\"" + discovery.address()
+            + "\",\"seed\":\"2a\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":" + sockets + "},\"known\":"
+            + list(1, "Ready", servers) + ",\"settings\":" + SETTINGS + "}";
     }
 
-    private static Process start(String shell, Path log, String... arguments) throws IOException {
+    /** The command that starts the program, as built and with assertions on. */
+    static List<String> command(String... arguments) {
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp",
             System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             "calicochute.cli.Main"));
         command.addAll(List.of(arguments));
+        return command;
+    }
+
+    /** Starts the program with assertions on, as built, and sends what it prints to a file. */
+    static Process start(Path log, String... arguments) throws IOException {
+        return start("", log, arguments);
+    }
+
+    private static Process start(String shell, Path log, String... arguments) throws IOException {
+        List<String> command = command(arguments);
         command.addAll(0, List.of("sh", "-c", shell + "exec \"$@\"", "sh"));
         return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(new File(log.toString())).start();
     }
@@ -122,6 +151,38 @@
         }
     }
 
+    /** A call to the second address; {@code call} such as {@code GET health}. */
+    Http admin(String call, String body) throws IOException {
+        return admin(admin, call, body);
+    }
+
+    static Http admin(int port, String call, String body) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(30_000);
+            socket.getOutputStream().write(Http.message(call.replace(" ", " /admin/") + " HTTP/1.1\r\nHost: a\r\n",
+                body.getBytes(StandardCharsets.UTF_8)));
+            Http answer = Http.read(socket.getInputStream());
+            if (answer == null) {
+                throw new EOFException("no answer");
+            }
+            return answer;
+        }
+    }
+
+    /** One of the figures; -1 if there is none of that name. */
+    long figure(String name) throws IOException {
+        for (String line : new String(admin("GET stats", "").body(), StandardCharsets.UTF_8).split("\n")) {
+            if (line.startsWith("app." + name + ":")) {
+                return Long.parseLong(line.replaceAll(".*:(\\d+)\\|[cg]", "$1"));
+            }
+        }
+        return -1;
+    }
+
+    static String host(Peer server) {
+        return "{\"host\":\"s" + server.address() + "\"}";
+    }
+
     long counter(String name) throws IOException {
         String text = new String(send("GET /counters HTTP/1.1\r\nHost: a\r\n").body());
         return Long.parseLong(text.replaceAll("(?s).*\\b" + name + " (\\d+).*", "$1"));
