New settings at SIGHUP, taken whole or not at all; sessions keep what they began with

Checked: Gson's JsonParser.parseString is lenient (comments, single quotes, trailing commas), so a file is read with STRICT and to its end. Ruled out: a new module for new settings (it would start blind), and refusing dropped classes at once.

Change: settings.Document (strict JSON, deadlines and attempts above 0, keys that the running file has), settings.Succession (a table of classes that only grows), Balancer.Retuned; a request notes its attempts when it arrives, an exchange its limits.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -47,8 +47,8 @@
     private final Connector connector;
     private final DecisionQueue queue;
     private final Counters counters;
-    private final List<String> reportFields;
-    private final long connectTimeout;
+    private List<String> reportFields;
+    private long connectTimeout;
     private final long idleTime;
     private final int room;
     /** One for each connection that is open or being opened. */
@@ -62,8 +62,7 @@
         this.connector = connector;
         this.queue = queue;
         this.counters = counters;
-        this.reportFields = reportFields;
-        this.connectTimeout = connectTimeout > 0 ? connectTimeout : 1_000_000;
+        retune(reportFields, connectTimeout);
         // Guards against the reset of a call that crosses the server's own closing of an idle connection.
         idleTime = Math.max(1, connectionIdle / 3);
         room = bounds.serverConnections();
@@ -71,6 +70,12 @@
         queue.after(idleTime / 2, this::sweep);
     }
 
+    /** New settings; what is under way goes on as it began. */
+    public void retune(List<String> fields, long timeout) {
+        reportFields = fields;
+        connectTimeout = timeout > 0 ? timeout : 1_000_000;
+    }
+
     /** Learns or changes a server's address; connections to the one it had are not used again. */
     public void address(String server, InetSocketAddress address) {
         BackendServer known = servers.get(server);
--- a/balancer/src/main/java/calicochute/cli/ConfigurationOption.java
+++ b/balancer/src/main/java/calicochute/cli/ConfigurationOption.java
@@ -16,4 +16,9 @@
         }
         return Configuration.read(Path.of(file));
     }
+
+    /** The file as it is now, in place of a running one. */
+    Configuration readNext(Configuration running) throws SettingsException {
+        return running.readNext(Path.of(file));
+    }
 }
--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -1,6 +1,5 @@
 package calicochute.cli;
 
-import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
 import calicochute.node.Node;
@@ -24,7 +23,8 @@
         Counters counters = new Counters();
         Node node = new Node(told, counters, InheritedSocket.get(), shared());
         // Before the start: without a handler SIGHUP ends a Java program, and /ready may say 200 as soon as it listens.
-        Hangup.handle(() -> reload(node, counters));
+        Configuration[] running = {told};
+        Hangup.handle(() -> reload(node, running));
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
         // Only now: a start that fails must end with its own status, not with that of a planned stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
@@ -36,13 +36,14 @@
         return folder == null || folder.isEmpty() ? null : Path.of(folder);
     }
 
-    /** On SIGHUP: the file is read anew; one that can't be used changes nothing. */
-    private void reload(Node node, Counters counters) {
+    /** On SIGHUP: the file is read anew, and taken whole or not at all. One at a time. */
+    private synchronized void reload(Node node, Configuration[] running) {
         try {
-            node.reload(configuration.read());
+            Configuration next = configuration.readNext(running[0]);
+            node.reload(next);
+            running[0] = next;
         } catch (SettingsException e) {
-            counters.count(Counter.RELOADS_FAILED);
-            Log.warn("reload-failed", e.getMessage());
+            node.reloadFailed(e.getMessage());
         }
     }
 
--- a/balancer/src/main/java/calicochute/decision/Balancer.java
+++ b/balancer/src/main/java/calicochute/decision/Balancer.java
@@ -67,6 +67,9 @@
 
     record BackendList(ListKind kind, List<Backend> entries) implements Event { }
 
+    /** New settings from here on; open requests keep what they began with. An index never names another class than before. */
+    record Retuned(Settings settings) implements Event { }
+
     /** A request; {@code classIndex} and {@code tenantIndex} point into the settings (-1: no tenant). */
     record Arrival(long request, int classIndex, int tenantIndex, String key, long timeLeft, boolean retry)
         implements Event { }
--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -57,22 +57,23 @@
     private static final long REVIEW = 250_000;
     private static final int TIMER_HELD = 1, TIMER_SUBSCRIBE = 2;
 
-    private final Settings settings;
-    private final RequestClass[] classes;
+    private Settings settings;
+    private RequestClass[] classes;
     private final SplittableRandom random;
     final Map<String, Server> servers = new HashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     /** All that are listed, in this instance's order; the subset in use; the walk and where it stands. */
     private Server[] ranked = new Server[0], use = ranked, walk = ranked;
     private int walkAt;
-    private final Seen[] seen;
+    private final Map<String, Seen> named = new HashMap<>();
+    private Seen[] seen;
     private double typical = 1;
     private boolean pollNext = true, subscribed;
     private double retryTokens = RETRY_MAX / 2;
     /** Admission: requests open and how many may be; smoothed share of the slack that queueing takes. */
     private int open;
     private double limit = Double.MAX_VALUE, aimRatio;
-    private final double[] arrivals, tenantTokens;
+    private double[] arrivals = { }, tenantTokens = { };
     private long now, unconnectedAt = Long.MIN_VALUE / 2, reviewedAt, limitCutAt, tenantTokensAt;
     /** Answers a second: of a warm backend in use on average, and of all together. */
     private double warmRate, answerRate;
@@ -80,13 +81,18 @@
     private Actions actions;
 
     Choice(Settings settings) {
-        this.settings = settings;
-        classes = settings.classes().toArray(new RequestClass[0]);
         random = new SplittableRandom(settings.seed());
+        retune(settings);
+    }
+
+    /** Estimates outlive a change of settings, by class name; an index never comes to mean another class. */
+    private void retune(Settings to) {
+        settings = to;
+        classes = to.classes().toArray(new RequestClass[0]);
         seen = new Seen[classes.length];
-        Arrays.setAll(seen, i -> new Seen());
-        arrivals = new double[classes.length * 3];
-        tenantTokens = new double[settings.tenants().size()];
+        Arrays.setAll(seen, i -> named.computeIfAbsent(classes[i].name(), n -> new Seen()));
+        arrivals = Arrays.copyOf(arrivals, classes.length * 3);
+        tenantTokens = Arrays.copyOf(tenantTokens, to.tenants().size());
     }
 
     // ---- Events
@@ -99,12 +105,11 @@
         if (event instanceof AttemptEnded e) { attemptEnded(e); }
         if (event instanceof Timer e) { timer(e); }
         if (event instanceof BackendList e) { list(e); }
-        if (event instanceof ClientGone e) { clientGone(requests.get(e.request())); }
+        if (event instanceof ClientGone e && requests.containsKey(e.request())) {
+            finish(requests.get(e.request()), null);
+        }
         if (event instanceof StreamStarted e) { streamStarted(e); }
-    }
-
-    private void clientGone(Request r) {
-        if (r != null) { finish(r, null); }
+        if (event instanceof Retuned e) { retune(e.settings()); }
     }
 
     private void timer(Timer e) {
@@ -131,7 +136,8 @@
         long left = e.timeLeft();
         if (settings.tier() == 0 && c.lateWorth() == 0) { left = Math.min(left, c.aim() - waited); }
         if (waited > 0 && left < seen[e.classIndex()].latency) { left = 0; }
-        Request r = new Request(e.request(), e.classIndex(), now, now + left);
+        int most = settings.limits().maxAttempts();
+        Request r = new Request(e.request(), e.classIndex(), now, now + left, most);
         requests.put(r.id, r);
         open++;
         retryTokens = Math.min(RETRY_MAX, retryTokens + RETRY_SHARE);
@@ -151,7 +157,7 @@
     /** Sends the request somewhere, or holds it, or ends it. */
     private void dispatch(Request r) {
         long left = r.deadline - now;
-        boolean over = left <= 0 || r.sent >= settings.limits().maxAttempts();
+        boolean over = left <= 0 || r.sent >= r.most;
         Server s = over ? null : pick(r);
         if (s != null) {
             send(r, s);
@@ -227,7 +233,7 @@
     }
 
     private boolean stillOwed(Request r) {
-        return !r.ended && now < r.deadline && r.sent < settings.limits().maxAttempts();
+        return !r.ended && now < r.deadline && r.sent < r.most;
     }
 
     private boolean notDraining(Server s) {
@@ -247,11 +253,8 @@
     }
 
     private static boolean sameGroup(RequestClass c, Server a, Server b) {
-        return switch (c.scope()) {
-            case ALL -> true;
-            case ZONE -> a.entry.zone().equals(b.entry.zone());
-            case CELL -> a.entry.cell() == b.entry.cell();
-        };
+        boolean zone = a.entry.zone().equals(b.entry.zone()), cell = a.entry.cell() == b.entry.cell();
+        return c.scope() == KeyScope.ALL || (c.scope() == KeyScope.ZONE ? zone : cell);
     }
 
     private boolean mayRefuse(Request r) {
@@ -425,8 +428,7 @@
         }
         warmRate += weight * (warmAnswers / seconds / Math.max(1, warm) - warmRate);
         answerRate += weight * (allAnswers / seconds - answerRate);
-        warmAnswers = 0;
-        allAnswers = 0;
+        warmAnswers = allAnswers = 0;
         for (int i = 0; i < arrivals.length; i++) { arrivals[i] *= 0.9; }
         int want = subsetSize() + sick;
         if (want > use.length && use.length < ranked.length || want < use.length * 2 / 3) { choose(want); }
@@ -443,9 +445,7 @@
         subscribed = e.kind() != ListKind.RESTORED;
         failedCalls = 0;
         if (!subscribed && settings.subscribes()) { subscribeLater(); }
-        if (e.kind() != ListKind.CHANGES) {
-            for (Server s : ranked) { s.listed = false; }
-        }
+        if (e.kind() != ListKind.CHANGES) { servers.values().forEach(s -> s.listed = false); }
         for (Backend b : e.entries()) { entry(b); }
         servers.values().removeIf(s -> !s.listed);
         ranked = servers.values().toArray(new Server[0]);
@@ -461,14 +461,9 @@
 
     private void entry(Backend b) {
         Server s = servers.get(b.id());
-        if (b.state() == BackendState.GONE) {
-            if (s != null) { s.listed = false; }
-            return;
-        }
-        if (s == null) {
-            s = new Server(b.id(), settings.me() % rounds());
-            servers.put(s.id, s);
-        }
+        if (b.state() == BackendState.GONE && s != null) { s.listed = false; }
+        if (b.state() == BackendState.GONE) { return; }
+        if (s == null) { servers.put(b.id(), s = new Server(b.id(), settings.me() % rounds())); }
         if (s.entry == null || s.entry.startedAt() != b.startedAt()) {
             s.polled = false;
             s.speed = typical;
@@ -504,9 +499,7 @@
             use[i] = pool[(start + i) % ready];
             use[i].inUse = true;
         }
-        for (Server s : before) {
-            if (!s.inUse && s.listed) { actions.closeIdle(s.id); }
-        }
+        Arrays.stream(before).filter(s -> !s.inUse && s.listed).forEach(s -> actions.closeIdle(s.id));
     }
 
     // ---- Admission
--- a/balancer/src/main/java/calicochute/decision/Track.java
+++ b/balancer/src/main/java/calicochute/decision/Track.java
@@ -84,15 +84,18 @@
         final long id;
         final int cls;
         final long arrivedAt, deadline;
+        /** Attempts it may have, as the settings were when it arrived. */
+        final int most;
         Attempt[] attempts = new Attempt[2];
         int sent, out;
         boolean ended;
 
-        Request(long id, int cls, long arrivedAt, long deadline) {
+        Request(long id, int cls, long arrivedAt, long deadline, int most) {
             this.id = id;
             this.cls = cls;
             this.arrivedAt = arrivedAt;
             this.deadline = deadline;
+            this.most = most;
         }
 
         Attempt send(Server server, long now) {
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -1,5 +1,6 @@
 package calicochute.exchange;
 
+import calicochute.decision.Balancer.Limits;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -15,6 +16,8 @@
     public final Message message;
     public final int classIndex;
     public final int tenantIndex;
+    /** What the site permitted when it began; holds to its end. */
+    public final Limits limits;
     public final boolean retry;
     /** When the last byte came, and when the client will have given up: microseconds of the decision queue. */
     public final long arrivedAt;
@@ -23,13 +26,14 @@
     private final List<Dispatch> dispatches = new ArrayList<>(3);
     private boolean closed;
 
-    public Exchange(long id, String clientId, Message message, int classIndex, int tenantIndex, boolean retry,
-                    long arrivedAt, long deadline, Respondent respondent) {
+    public Exchange(long id, String clientId, Message message, int classIndex, int tenantIndex, Limits limits,
+                    boolean retry, long arrivedAt, long deadline, Respondent respondent) {
         this.id = id;
         this.clientId = clientId;
         this.message = message;
         this.classIndex = classIndex;
         this.tenantIndex = tenantIndex;
+        this.limits = limits;
         this.retry = retry;
         this.arrivedAt = arrivedAt;
         this.deadline = deadline;
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -7,6 +7,7 @@
 import calicochute.metrics.Log;
 import calicochute.presence.Presence;
 import calicochute.settings.Configuration;
+import calicochute.settings.Succession;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -43,8 +44,8 @@
 
     /** @param inherited the socket that listens for clients already, or null to listen at the configuration's address */
     public Frontend(Configuration configuration, ServerSocketChannel inherited, DecisionQueue clock, Sessions sessions,
-                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence) throws IOException {
-        reader = new SessionReader(configuration.settings());
+                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence, Supplier<Succession> settings) throws IOException {
+        reader = new SessionReader(settings);
         this.clock = clock;
         this.sessions = sessions;
         this.counters = counters;
--- a/balancer/src/main/java/calicochute/frontend/SessionReader.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionReader.java
@@ -2,18 +2,17 @@
 
 import calicochute.decision.Balancer.Effect;
 import calicochute.decision.Balancer.RequestClass;
-import calicochute.decision.Balancer.Settings;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Message;
 import calicochute.exchange.Respondent;
+import calicochute.settings.Succession;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
@@ -26,9 +25,7 @@
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final long LONGEST_WAIT_MS = 3_600_000;
     private final AtomicLong lastId = new AtomicLong();
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
-    private final Settings settings;
+    private final Supplier<Succession> settings;
 
     /** A request that is not a session as the protocol has it, with the status that says so. */
     static final class BadInput extends Exception {
@@ -41,10 +38,8 @@
         }
     }
 
-    SessionReader(Settings settings) {
+    SessionReader(Supplier<Succession> settings) {
         this.settings = settings;
-        settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
-        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
     }
 
     Exchange read(HttpRequest request, byte[] body, long now, Respondent respondent) throws BadInput {
@@ -52,11 +47,14 @@
         if (!ID.matcher(clientId).matches()) {
             throw new BadInput(400, "X-Txn is not 16 hex digits");
         }
-        int classIndex = index(classes, one(request, "X-Lane", true), "X-Lane");
-        String tenant = one(request, "X-Org", !tenants.isEmpty());
-        int tenantIndex = tenants.isEmpty() ? -1 : index(tenants, tenant, "X-Org");
+        // Once: what a session begins with holds to its end.
+        Succession told = settings.get();
+        int classIndex = known(told.classIndex(one(request, "X-Lane", true), now), "X-Lane");
+        boolean tenants = !told.current().tenants().isEmpty();
+        String tenant = one(request, "X-Org", tenants);
+        int tenantIndex = tenants ? known(told.tenantIndex(tenant), "X-Org") : -1;
         long deadline = now + 1000 * wait(one(request, "X-Remaining-Ms", true));
-        RequestClass c = settings.classes().get(classIndex);
+        RequestClass c = told.classes().get(classIndex);
         if (!request.getMethod().equals(c.effect() == Effect.REPEATABLE ? "GET" : "POST")) {
             throw new BadInput(405, request.getMethod() + " does not go with the class " + c.name());
         }
@@ -67,7 +65,7 @@
         }
         Message message = new Message(request.getMethod(), request.getPath(), passed(request), body);
         return new Exchange(lastId.incrementAndGet(), clientId, message, classIndex, tenantIndex,
-            "1".equals(one(request, "X-Resent", false)), now, deadline, respondent);
+            told.current().limits(), "1".equals(one(request, "X-Resent", false)), now, deadline, respondent);
     }
 
     private static List<Field> passed(HttpRequest request) {
@@ -88,9 +86,8 @@
         return headers.length == 0 ? null : headers[0].getValue();
     }
 
-    private static int index(Map<String, Integer> names, String name, String header) throws BadInput {
-        Integer index = names.get(name);
-        if (index == null) {
+    private static int known(int index, String header) throws BadInput {
+        if (index < 0) {
             throw new BadInput(400, header + " names nothing in the settings");
         }
         return index;
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -24,6 +24,7 @@
 import calicochute.presence.Presence;
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
+import calicochute.settings.Succession;
 import calicochute.takeover.Lives;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -50,7 +51,7 @@
     private static final long LOOK_AGAIN = 100_000;
     private static final long PROBE_TIMEOUT = 1_000_000;
     private final Configuration configuration;
-    private final Settings settings;
+    private volatile Succession succession;
     private final Counters counters;
     private final DecisionQueue queue;
     private final Connector connector = new Connector();
@@ -81,14 +82,16 @@
             throws IOException {
         this.configuration = configuration;
         this.counters = counters;
-        settings = configuration.settings();
+        Settings settings = configuration.settings();
+        succession = Succession.of(settings);
         queue = new DecisionThread(counters);
         balancer = Balancer.create(settings);
         backend = new BackendServers(connector, queue, counters, settings.reportFields(),
             settings.limits().connectTimeout(), configuration.connectionIdle(), configuration.bounds(), this);
         membership = new Membership(backend, figures, queue, new OutageFile(shared, configuration.name()), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership);
-        frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence);
+        frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence,
+            () -> succession);
         admin = configuration.admin() == null ? null : new AdminServer(this, counters);
         lives = new Lives(shared, configuration.name());
         settings.classes().forEach(c -> figures.listClass(c.name()));
@@ -109,15 +112,33 @@
         return address;
     }
 
-    /** Takes over what may change under load: discovery's address. All else stays as it was at the start. */
-    public void reload(Configuration changed) {
+    /**
+     * Takes over what may change under load: the settings and discovery's address. Its own addresses, its name and its limits
+     * stay as they were at the start.
+     */
+    public void reload(Configuration changed) throws SettingsException {
+        // Only here does it change, one reload at a time: a file that can't follow the running one changes nothing.
+        Succession next = succession.next(changed.settings(), queue.now());
         queue.post(() -> {
+            succession = next;
+            next.classes().forEach(c -> figures.listClass(c.name()));
+            backend.retune(changed.settings().reportFields(), changed.settings().limits().connectTimeout());
+            tell(new Balancer.Retuned(next.forModule()));
             counters.count(Counter.RELOADS);
-            Log.info("reloaded", "discovery=" + changed.discovery());
+            figures.reloaded(true);
+            Log.info("reloaded", "discovery=" + changed.discovery() + " classes="
+                + changed.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             discovery.move(changed.discovery());
         });
     }
 
+    /** A file was turned down; nothing changed. */
+    public void reloadFailed(String why) {
+        counters.count(Counter.RELOADS_FAILED);
+        figures.reloaded(false);
+        Log.warn("reload-failed", why);
+    }
+
     private void restore(ServerList known) {
         if (known != null) {
             discovery.startFrom(known.generation());
@@ -189,9 +210,9 @@
     private void take(Exchange exchange) {
         counters.count(Counter.SESSIONS_TAKEN);
         figures.taken();
-        if (unanswered >= settings.limits().maxOpen()) {
+        if (unanswered >= exchange.limits.maxOpen()) {
             counters.count(Counter.SESSIONS_OVER_LIMIT);
-            answer(exchange, new Answer.Denied(settings.limits().maxRetryAfter()));
+            answer(exchange, new Answer.Denied(exchange.limits.maxRetryAfter()));
             return;
         }
         if (!clientIds.add(exchange.clientId)) {
@@ -246,7 +267,7 @@
     }
 
     private void ended(Exchange exchange, Figures.End how) {
-        figures.ended(settings.classes().get(exchange.classIndex).name(), how);
+        figures.ended(succession.classes().get(exchange.classIndex).name(), how);
     }
 
     /** Forgets a session that is closed and has no dispatch out. */
@@ -304,8 +325,8 @@
             return;
         }
         boolean legal = !exchange.closed() && backend.knows(server) && timeout > 0
-            && exchange.dispatches() < settings.limits().maxAttempts();
-        counters.mustHold(settings.limits().secondCopies() || !exchange.anyOut(), "a second copy of a session");
+            && exchange.dispatches() < exchange.limits.maxAttempts();
+        counters.mustHold(exchange.limits.secondCopies() || !exchange.anyOut(), "a second copy of a session");
         Dispatch dispatch = exchange.dispatch(server, queue.now());
         if (legal) {
             backend.send(dispatch, Math.min(timeout, exchange.deadline - ANSWER_MARGIN - queue.now()));
@@ -318,7 +339,7 @@
     public void refuse(long request, long retryAfter) {
         Exchange exchange = open.get(request);
         if (exchange != null) {
-            answer(exchange, new Answer.Denied(Math.min(retryAfter, settings.limits().maxRetryAfter())));
+            answer(exchange, new Answer.Denied(Math.min(retryAfter, exchange.limits.maxRetryAfter())));
         }
     }
 
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -5,7 +5,6 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -14,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * All that one real balancer is told. {@code known} is the list as it last had it, in discovery's form;
@@ -22,7 +22,7 @@
  */
 public record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin,
                             InetSocketAddress discovery, Bounds bounds, long connectionIdle, String known,
-                            Settings settings) {
+                            Settings settings, Document document) {
     private static final String ADMIN_VARIABLE = "PROXY_ADMIN_ADDR";
     private static final int DEFAULT_SOCKETS = 1024;
     private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
@@ -30,9 +30,11 @@
     /** Reads a configuration file; every complaint names the file's faulty entry. */
     public static Configuration read(Path file) throws SettingsException {
         try {
-            JsonObject root = JsonParser.parseString(Files.readString(file)).getAsJsonObject();
+            Document document = Document.parse(Files.readString(file));
+            JsonObject root = document.root();
             Map<String, String> values = new HashMap<>();
             flatten("", object(root, "settings"), values);
+            document.checkLimits();
             values.put("nonce64", seed(text(root, "seed")));
             Settings settings = SettingsParser.parse(values);
             if (settings.classes().isEmpty()) {
@@ -46,15 +48,27 @@
                 Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
                     admin != null && !admin.isEmpty()),
                 Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
-                root.has("known") ? root.get("known").toString() : "", settings);
+                root.has("known") ? root.get("known").toString() : "", settings, document);
         } catch (IOException e) {
             throw new SettingsException("cannot read " + file);
+        } catch (SettingsException e) {
+            throw new SettingsException(file + ": " + e.getMessage());
         } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
                  | UnsupportedOperationException e) {
             throw new SettingsException(file + " is not a configuration: " + e.getMessage());
         }
     }
 
+    /** Reads the file that takes over from this one, under load: what this one has, it must have too. */
+    public Configuration readNext(Path file) throws SettingsException {
+        Configuration next = read(file);
+        Set<String> missing = next.document.missing(document);
+        if (!missing.isEmpty()) {
+            throw new SettingsException(file + ": lacks what the running one has: " + String.join(", ", missing));
+        }
+        return next;
+    }
+
     /** Splits host:port. */
     public static InetSocketAddress address(String what, String text) throws SettingsException {
         int colon = text.lastIndexOf(':');
--- a/balancer/src/main/java/calicochute/settings/SettingsParser.java
+++ b/balancer/src/main/java/calicochute/settings/SettingsParser.java
@@ -1,5 +1,6 @@
 package calicochute.settings;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -112,8 +113,9 @@
             return absent;
         }
         try {
-            return Long.parseLong(value);
-        } catch (NumberFormatException e) {
+            // A whole number may be written 3.0 or 3e6.
+            return new BigDecimal(value).longValueExact();
+        } catch (ArithmeticException | NumberFormatException e) {
             throw new SettingsException(path + " is not a whole number: '" + value + "'");
         }
     }
--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/balancer/src/test/java/calicochute/decision/MechanismTest.java
@@ -491,4 +491,34 @@
         }
         return (double) abroad / (f.sent.size() - before);
     }
+
+    /** What a request began with holds to its end; estimates outlive new settings, by class name. */
+    @Test
+    void newSettingsLeaveOpenRequestsAndEstimatesAlone() {
+        Fixture f = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS));
+        f.list(fleet(4));
+        for (int i = 0; i < 30; i++) {
+            one(f, Outcome.OK, 100_000);
+        }
+        double before = speed(f, "b0");
+        f.arrive(nextRequest, 4 * SECOND);
+        RequestClass changed = requestClass(Effect.ONCE, KeyScope.ALL);
+        RequestClass added = new RequestClass("d", Effect.REPEATABLE, KeyScope.ALL, 1, SECOND, 4 * SECOND, 1, 0, false);
+        Balancer.Limits fewer = new Balancer.Limits(true, true, false, false, false, 2, 1000, 1, 200_000, SECOND);
+        f.on(new Balancer.Retuned(settings(List.of(REPEATABLE, changed, added), fewer)));
+        assertEquals(before, speed(f, "b0"));
+        int sent = f.sent.size();
+        f.outcome(0, Outcome.ERROR, 1000);
+        f.outcome(1, Outcome.ERROR, 1000);
+        f.outcome(2, Outcome.ERROR, 1000);
+        assertEquals(sent + 3, f.sent.size(), "four attempts, as when it arrived");
+        f.arrive(nextRequest + 1, 2, 4 * SECOND);
+        f.outcome(0, Outcome.ERROR, 1000);
+        f.outcome(1, Outcome.ERROR, 1000);
+        assertEquals(sent + 5, f.sent.size(), "two attempts, as it is now");
+        assertEquals("refuse " + (nextRequest + 1), f.lastSaid());
+        f.arrive(nextRequest + 2, 1, 4 * SECOND);
+        f.outcome(0, Outcome.ERROR, 1000);
+        assertEquals("fail " + (nextRequest + 2), f.lastSaid(), "its new effect forbids another attempt");
+    }
 }
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -257,6 +257,45 @@
         }
     }
 
+    /** A class gets another effect and a new one comes; what is open keeps its rules, and a bad file changes nothing. */
+    @Test
+    public void newSettingsCountFromTheHangupOn() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(500, "", "");
+        };
+        try (Socket taken = program.connect()) {
+            taken.getOutputStream().write(Http.message(session(ID, "order"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            String good = Files.readString(program.config);
+            String order = "\"effect\":\"once\",\"key_scope\":\"all\",\"name\":\"order\"";
+            assertTrue(good.contains(order));
+            String changed = good.replace(order, order.replace("once", "repeatable"))
+                .replace("\"name\":\"scan\"", "\"name\":\"sheet\"");
+            int bad = 0;
+            for (String text : new String[] {"", changed.substring(0, changed.length() - 1),
+                changed.replace("\"tick\":5000,", ""), changed.replace("\"max_attempts\":3", "\"max_attempts\":0")}) {
+                Files.writeString(program.config, text);
+                program.signal("HUP");
+                int expected = ++bad;
+                await("turned down", () -> program.counter("reloads_failed") == expected);
+            }
+            assertEquals(405, program.send(session(ID.replace('9', '8'), "order").replace("POST", "GET")).status());
+            Files.writeString(program.config, changed);
+            program.signal("HUP");
+            await("taken", () -> program.counter("reloads") == 1);
+            release.countDown();
+            assertEquals("as it began: once", 502, Http.read(taken.getInputStream()).status());
+            assertEquals(1, server.requests.size());
+            server.script = r -> Http.answer(server.requests.size() == 2 ? 500 : 200, "", "");
+            assertEquals("as it is now: repeatable", 200,
+                program.send(session(ID, "order").replace("POST", "GET")).status());
+            assertEquals(3, server.requests.size());
+            assertEquals(200, program.send(session(ID, "scan").replace("X-Lane: scan", "X-Lane: sheet")).status());
+            assertEquals("dropped, but callers may not know yet", 200, program.send(session(ID, "scan")).status());
+        }
+    }
+
     @Test
     public void aBadConfigurationEndsTheStart() throws Exception {
         Path config = Files.createTempFile("calicochute", ".json");
