--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -1,14 +1,17 @@
 package calicochute.backend;
 
+import calicochute.connection.CallListener;
 import calicochute.connection.Connection;
 import calicochute.connection.Connector;
 import calicochute.connection.Reply;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.exchange.Answer;
+import calicochute.exchange.Body;
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Dispatch;
 import calicochute.exchange.Field;
 import calicochute.exchange.Message;
+import calicochute.exchange.Pipe;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.pool.Pool;
@@ -21,7 +24,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
 /** The servers' side: carries out dispatches and probes over connections it keeps. All on the decision thread. */
@@ -43,6 +48,10 @@
     private static final long WARY = 20_000_000;
     /** A call on an ended connection fails within a round trip; a later failure is one of the answer. */
     private static final long AT_ONCE = 20_000;
+    /** Bodies in pieces: how often they are looked at, and how long a server may leave one unread or an answer unfinished. */
+    private static final long WATCH = 500_000;
+    private static final long UPLOAD_STILL = 10_000_000;
+    private static final long ANSWER_STILL = 5_000_000;
     private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
@@ -51,6 +60,7 @@
     private long connectTimeout;
     private final long idleTime;
     private final int room;
+    private final int window;
     /** One for each connection that is open or being opened. */
     private final Set<Object> connections = new HashSet<>();
     private final DispatchListener listener;
@@ -66,6 +76,7 @@
         // Guards against the reset of a call that crosses the server's own closing of an idle connection.
         idleTime = Math.max(1, connectionIdle / 3);
         room = bounds.serverConnections();
+        window = bounds.window();
         this.listener = listener;
         queue.after(idleTime / 2, this::sweep);
     }
@@ -115,12 +126,25 @@
     public void send(Dispatch dispatch, long timeout) {
         counters.count(Counter.DISPATCHES_SENT);
         Message message = dispatch.exchange.message;
-        Errand errand = new Errand(servers.get(dispatch.server), request(message, timeout), message.body(),
-            listener::dispatchWritten, (outcome, reply) -> {
+        Errand errand = new Errand(servers.get(dispatch.server), request(message, timeout), message.body(), new Course() {
+            @Override
+            public void written() {
+                listener.dispatchWritten();
+            }
+
+            @Override
+            public void begun(HttpResponse head, Body.Streamed body) {
+                listener.dispatchBegun(dispatch, new Answer.Served(passed(head), body));
+            }
+
+            @Override
+            public void ended(Outcome outcome, Reply reply) {
                 out.remove(dispatch);
-                listener.dispatchEnded(dispatch, outcome, answer(outcome, reply),
+                // One that had begun has had its answer.
+                listener.dispatchEnded(dispatch, outcome, dispatch.exchange.closed() ? null : answer(outcome, reply),
                     reply == null ? null : LoadReport.parse(reply.header(LOAD), reportFields));
-            });
+            }
+        });
         out.put(dispatch, errand);
         errand.start(timeout);
     }
@@ -140,7 +164,7 @@
         BackendServer target = servers.get(server);
         HttpRequest request = new BasicHttpRequest("GET", "/status/load");
         request.addHeader("Host", target.address.getHostString() + ":" + target.address.getPort());
-        new Errand(target, request, new byte[0], () -> { }, (outcome, reply) -> listener.probeEnded(server, outcome,
+        new Errand(target, request, Body.EMPTY, (outcome, reply) -> listener.probeEnded(server, outcome,
             queue.now() - from, outcome != Outcome.OK ? null
                 : LoadReport.parse(new String(reply.body(), StandardCharsets.US_ASCII), reportFields))).start(timeout);
     }
@@ -220,8 +244,11 @@
             request.addHeader(field.name(), field.value());
         }
         request.addHeader("X-Remaining-Ms", Long.toString(Math.max(1, timeout / 1000)));
-        if (message.body().length > 0 || message.method().equals("POST")) {
-            request.addHeader("Content-Length", Integer.toString(message.body().length));
+        if (message.body() instanceof Body.Streamed body) {
+            request.addHeader(body.length() < 0 ? "Transfer-Encoding" : "Content-Length",
+                body.length() < 0 ? "chunked" : Long.toString(body.length()));
+        } else if (message.body() instanceof Body.Whole body && (body.bytes().length > 0 || message.method().equals("POST"))) {
+            request.addHeader("Content-Length", Integer.toString(body.bytes().length));
         }
         return request;
     }
@@ -236,8 +263,12 @@
     }
 
     private static Answer.Served served(Reply reply) {
-        String type = reply.header("Content-Type");
-        return new Answer.Served(type == null ? List.of() : List.of(new Field("Content-Type", type)), reply.body());
+        return new Answer.Served(passed(reply.response()), new Body.Whole(reply.body()));
+    }
+
+    private static List<Field> passed(HttpResponse head) {
+        Header type = head.getFirstHeader("Content-Type");
+        return type == null ? List.of() : List.of(new Field("Content-Type", type.getValue()));
     }
 
     private static Outcome outcome(Reply reply) {
@@ -289,8 +320,17 @@
         }
     }
 
-    /** Told how an errand ended; {@code reply} is null where none was waited for. */
-    private interface Ending {
+    /** Told how an errand goes; all but the first on the decision thread. */
+    private interface Course {
+        /** The last byte has been written; on an I/O thread. */
+        default void written() {
+        }
+
+        /** The answer has begun and goes on in pieces. */
+        default void begun(HttpResponse head, Body.Streamed answer) {
+        }
+
+        /** {@code reply} is null where none was waited for. */
         void ended(Outcome outcome, Reply reply);
     }
 
@@ -298,30 +338,81 @@
     private final class Errand {
         private final BackendServer server;
         private final HttpRequest request;
-        private final byte[] body;
-        private final Runnable written;
-        private final Ending ending;
+        private final Body body;
+        private final Course course;
+        /** The answer, once it has begun. */
+        private Pipe answer;
+        private boolean wrote;
         private Connection connection;
         private DecisionQueue.Alarm timeout;
         private DecisionQueue.Alarm connecting;
         private boolean called;
         private long calledAt;
         private boolean ended;
+        private long patience;
 
-        /** @param written told on an I/O thread when the request's last byte has been written */
-        Errand(BackendServer server, HttpRequest request, byte[] body, Runnable written, Ending ending) {
+        Errand(BackendServer server, HttpRequest request, Body body, Course course) {
             this.server = server;
             this.request = request;
             this.body = body;
-            this.written = written;
-            this.ending = ending;
+            this.course = course;
         }
 
         void start(long micros) {
-            timeout = queue.after(micros, () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
+            patience = micros;
+            if (body instanceof Body.Streamed) {
+                // Its time runs from its last byte: until then only standing still ends it.
+                watch();
+            } else {
+                await();
+            }
             begin();
         }
 
+        private void await() {
+            timeout = queue.after(patience, () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
+        }
+
+        /** Ends it if a body in pieces has not moved, though this side has something to move or waits for it. */
+        private void watch() {
+            if (ended) {
+                return;
+            }
+            if (answer == null && body instanceof Body.Streamed streamed && !wrote) {
+                // Nothing held: it is the client's turn, which the frontend looks after.
+                if (streamed.pipe().held() > 0 && streamed.pipe().stillFor() >= (called ? UPLOAD_STILL : patience)) {
+                    end(Outcome.CONNECT_FAILED, null);
+                    return;
+                }
+            } else if (answer != null && answer.held() == 0 && answer.stillFor() >= ANSWER_STILL) {
+                counters.count(Counter.ANSWERS_CUT);
+                end(Outcome.RESET, null);
+                return;
+            }
+            queue.after(WATCH, this::watch);
+        }
+
+        private void wrote() {
+            if (!ended && !wrote) {
+                wrote = true;
+                if (body instanceof Body.Streamed && answer == null) {
+                    await();
+                }
+            }
+        }
+
+        private void began(HttpResponse head, Body.Streamed from) {
+            if (!ended) {
+                if (timeout != null) {
+                    timeout.cancel();
+                }
+                answer = from.pipe();
+                wrote = true;
+                course.begun(head, from);
+                watch();
+            }
+        }
+
         private void begin() {
             if (ended) {
                 return;
@@ -382,14 +473,30 @@
             }
             called = true;
             calledAt = queue.now();
-            connection.call(request, body, Bounds.BODY, written, reply -> queue.post(() -> replied(reply, reused)));
+            connection.stream(request, body, window, new CallListener() {
+                @Override
+                public void written() {
+                    course.written();
+                    queue.post(Errand.this::wrote);
+                }
+
+                @Override
+                public void begun(HttpResponse head, Body.Streamed answer) {
+                    queue.post(() -> began(head, answer));
+                }
+
+                @Override
+                public void ended(Reply reply) {
+                    queue.post(() -> replied(reply, reused));
+                }
+            });
         }
 
         private void replied(Reply reply, boolean reused) {
             if (ended) {
                 return;
             }
-            if (reused && !reply.begun() && reply.response() == null) {
+            if (reused && !reply.begun() && reply.response() == null && answer == null) {
                 // The server had closed the idle connection before a byte of this was written: nothing was sent.
                 connection.close();
                 called = false;
@@ -412,14 +519,16 @@
                 return;
             }
             ended = true;
-            timeout.cancel();
+            if (timeout != null) {
+                timeout.cancel();
+            }
             if (connecting != null) {
                 connecting.cancel();
             }
             if (connection != null) {
                 connection.close();
             }
-            ending.ended(outcome, reply);
+            course.ended(outcome, reply);
         }
     }
 }
--- a/balancer/src/main/java/calicochute/backend/DispatchListener.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchListener.java
@@ -9,6 +9,9 @@
     /** {@code answer} is the session's final answer where this settles it, else null; {@code load} may be null. */
     void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load);
 
+    /** The session's final answer has begun and is passed on in pieces; {@link #dispatchEnded} tells how it ended. */
+    void dispatchBegun(Dispatch dispatch, Answer answer);
+
     /** A dispatch's last byte has been written; on an I/O thread. */
     void dispatchWritten();
 
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -1,17 +1,19 @@
 package calicochute.connection;
 
-import java.io.ByteArrayOutputStream;
+import calicochute.exchange.Body;
+import calicochute.exchange.Pipe;
+import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
@@ -21,30 +23,49 @@
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
-/** One request and its answer on one connection; never sent again. Its end is told once, from an I/O thread. */
+/**
+ * One request and its answer on one connection; never sent again. Bodies go through pipes both ways: a short answer is
+ * kept until it is whole, a long one is handed on from its first pieces. Its end is told once, from an I/O thread.
+ */
 final class Call implements AsyncClientExchangeHandler {
     private static final int INTERIM_LIMIT = 16;
     private final HttpRequest request;
-    private final ByteBuffer body;
-    private final int bodyLimit;
-    private final Runnable written;
-    private final Consumer<Reply> end;
+    private final Body body;
+    private final Limits limits;
+    private final CallListener listener;
     private final AtomicBoolean ended = new AtomicBoolean();
-    private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
     private final AtomicBoolean writtenTold = new AtomicBoolean();
+    private final Pipe answer = new Pipe();
+    private ByteBuffer left;
+    private boolean hooked;
+    /** The last byte of the body has been handed to HttpCore. */
+    private volatile boolean produced;
+    private volatile long payload;
     private EndpointDetails endpoint;
     private long sentBefore;
     private HttpResponse response;
+    private long length = -1;
     private int interim;
-    private boolean whole;
+    private volatile boolean begun;
+    private volatile boolean whole;
     private boolean reusable;
 
-    Call(HttpRequest request, byte[] body, int bodyLimit, Runnable written, Consumer<Reply> end) {
+    /**
+     * What an answer may be.
+     *
+     * @param body no longer body is taken
+     * @param window from this many bytes on an answer is handed on in pieces; 0 if it never is
+     */
+    record Limits(long body, int window) { }
+
+    Call(HttpRequest request, Body body, Limits limits, CallListener listener) {
         this.request = request;
-        this.body = ByteBuffer.wrap(body);
-        this.bodyLimit = bodyLimit;
-        this.written = written;
-        this.end = end;
+        this.body = body;
+        this.limits = limits;
+        this.listener = listener;
+        left = body instanceof Body.Whole bytes ? ByteBuffer.wrap(bytes.bytes()) : ByteBuffer.allocate(0);
+        produced = body instanceof Body.Whole && !left.hasRemaining();
+        payload = left.remaining();
     }
 
     /** Whose bytes are counted, and how many had been sent before this call. */
@@ -55,19 +76,36 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
-        channel.sendRequest(request, body.hasRemaining() ? new BasicEntityDetails(body.remaining(), null) : null,
-            context);
+        channel.sendRequest(request, body instanceof Body.Streamed streamed
+            ? new BasicEntityDetails(streamed.length(), null)
+            : left.hasRemaining() ? new BasicEntityDetails(left.remaining(), null) : null, context);
     }
 
     @Override
     public int available() {
-        return body.remaining();
+        return body instanceof Body.Streamed streamed
+            ? produced ? 0 : streamed.pipe().drained() ? 1 : streamed.pipe().held() : left.remaining();
     }
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
-        channel.write(body);
-        if (!body.hasRemaining()) {
+        if (body instanceof Body.Streamed streamed) {
+            Pipe pipe = streamed.pipe();
+            if (!hooked) {
+                hooked = true;
+                pipe.whenReady(channel::requestOutput);
+            }
+            pipe.take(channel::write);
+            if (!produced && pipe.drained()) {
+                payload = pipe.put();
+                produced = true;
+                channel.endStream();
+            }
+            return;
+        }
+        channel.write(left);
+        if (!left.hasRemaining()) {
+            produced = true;
             channel.endStream();
         }
     }
@@ -82,28 +120,51 @@
 
     @Override
     public void consumeResponse(HttpResponse head, EntityDetails entity, HttpContext context) throws HttpException {
-        if (entity != null && entity.getContentLength() > bodyLimit) {
-            throw new ProtocolException("answer over " + bodyLimit + " bytes");
+        length = entity == null ? 0 : entity.getContentLength();
+        if (length > (streams(head) ? limits.body : Math.min(limits.body, limits.window == 0 ? limits.body : Bounds.BODY))) {
+            throw new ProtocolException("answer over " + limits.body + " bytes");
         }
         response = head;
         reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, head, context);
         whole = entity == null;
     }
 
+    private boolean streams(HttpResponse head) {
+        return limits.window > 0 && head.getCode() == HttpStatus.SC_OK;
+    }
+
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        channel.update(Integer.MAX_VALUE);
+        if (limits.window == 0) {
+            channel.update(Integer.MAX_VALUE);
+        } else {
+            answer.creditTo(bytes -> grant(channel, bytes));
+        }
+    }
+
+    private static void grant(CapacityChannel channel, int bytes) {
+        try {
+            channel.update(bytes);
+        } catch (IOException e) {
+            // The connection has ended: nothing more is read on it.
+            return;
+        }
     }
 
     @Override
     public void consume(ByteBuffer data) throws IOException {
+        long total = answer.put() + data.remaining();
         // Guards against an answer that would not end: memory is small and shared by all sessions.
-        if (answer.size() + data.remaining() > bodyLimit) {
-            throw new IOException("answer over " + bodyLimit + " bytes");
+        if (total > limits.body || !streams(response) && limits.window > 0 && total > Bounds.BODY) {
+            throw new IOException("answer over " + limits.body + " bytes");
+        }
+        answer.put(data);
+        if (!begun && streams(response)
+            && (length > Bounds.BODY || length < 0 && total > Bounds.UNTOLD || total > Bounds.BODY)) {
+            begun = true;
+            answer.shrink(Bounds.WINDOW - limits.window);
+            listener.begun(response, new Body.Streamed(answer, length));
         }
-        byte[] bytes = new byte[data.remaining()];
-        data.get(bytes);
-        answer.write(bytes, 0, bytes.length);
     }
 
     @Override
@@ -112,17 +173,16 @@
             throw new ProtocolException("body without a head");
         }
         whole = true;
+        answer.end();
     }
 
     @Override
     public void failed(Exception cause) {
-        whole = false;
         end();
     }
 
     @Override
     public void cancel() {
-        whole = false;
         end();
     }
 
@@ -135,16 +195,20 @@
         if (ended.compareAndSet(false, true)) {
             wrote();
             long sent = endpoint.getSentBytesCount() - sentBefore;
-            end.accept(new Reply(whole ? response : null, answer.toByteArray(), sent > 0, writtenTold.get(),
-                whole && reusable && !body.hasRemaining()));
+            listener.ended(new Reply(whole ? response : null, begun || !whole ? new byte[0] : answer.all(), sent > 0,
+                writtenTold.get(), whole && reusable && produced));
+            if (!whole) {
+                // Only now: whoever passes the answer on hears of the cut after it is known that the server made it.
+                answer.breakOff();
+            }
         }
     }
 
     /** Some output has been written: tells once if the last byte of this was among it. */
     void wrote() {
-        if (!writtenTold.get() && endpoint.getSentBytesCount() - sentBefore >= headLength() + body.capacity()
+        if (!writtenTold.get() && produced && endpoint.getSentBytesCount() - sentBefore >= headLength() + payload
             && writtenTold.compareAndSet(false, true)) {
-            written.run();
+            listener.written();
         }
     }
 
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -1,5 +1,7 @@
 package calicochute.connection;
 
+import calicochute.exchange.Body;
+import calicochute.settings.Bounds;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
@@ -39,15 +41,19 @@
         return !closed && session != null && session.isOpen();
     }
 
-    /** Sends one request; {@code end} hears on an I/O thread how it ended. */
+    /** Sends one request whose answer is kept until it is whole; {@code end} hears on an I/O thread how it ended. */
     public void call(HttpRequest request, byte[] body, int bodyLimit, Consumer<Reply> end) {
-        call(request, body, bodyLimit, () -> { }, end);
+        call(request, new Body.Whole(body), new Call.Limits(bodyLimit, 0), end::accept);
     }
 
-    /** The same; {@code written} hears on an I/O thread when the last byte has been written, if it ever is. */
-    public void call(HttpRequest request, byte[] body, int bodyLimit, Runnable written, Consumer<Reply> end) {
+    /** Sends one request whose answer may be long: past a point it is handed on in pieces, so many bytes ahead. */
+    public void stream(HttpRequest request, Body body, int window, CallListener listener) {
+        call(request, body, new Call.Limits(Bounds.LONGEST_BODY, window), listener);
+    }
+
+    private void call(HttpRequest request, Body body, Call.Limits limits, CallListener listener) {
         awaitsAnswer = true;
-        Call call = new Call(request, body, bodyLimit, written, end);
+        Call call = new Call(request, body, limits, listener);
         latest = call;
         call.on(((HttpConnection) session.getHandler()).getEndpointDetails());
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -25,7 +25,8 @@
 /** Opens connections to servers of any sort; one I/O thread carries them all. */
 public final class Connector implements AutoCloseable {
     static final Http1Config LIMITS = Http1Config.custom().setBufferSize(Bounds.BUFFER)
-        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS).build();
+        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS)
+        .setInitialWindowSize(Bounds.WINDOW).build();
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
     private final DefaultConnectingIOReactor reactor;
 
--- a/balancer/src/main/java/calicochute/decision/Balancer.java
+++ b/balancer/src/main/java/calicochute/decision/Balancer.java
@@ -74,6 +74,9 @@
     record Arrival(long request, int classIndex, int tenantIndex, String key, long timeLeft, boolean retry)
         implements Event { }
 
+    /** Of a request whose body comes in pieces: some were handed on, so no further attempt can be made; its last byte came. */
+    record BodyState(long request, boolean spent, boolean whole) implements Event { }
+
     /** {@code finished}: the request has its final answer; else one is still owed. {@code load} may be null. */
     record AttemptEnded(long request, int attempt, String backend, boolean finished, Outcome outcome, long elapsed,
                         double[] load) implements Event { }
--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -12,7 +12,6 @@
 
 /**
  * Every decision of the balancer; its interface (settings, events, actions) is Balancer.java.
- *
  * The ordinary path follows Bouten et al.: an aged EWMA of speed per backend, softmax over speed by the best,
  * temperature and ordered walk set by headroom. DANGER marks a departure and what it guards against;
  * docs/design.md gives the triggers. Instances share nothing: all state is in the fields below.
@@ -105,10 +104,9 @@
         if (event instanceof AttemptEnded e) { attemptEnded(e); }
         if (event instanceof Timer e) { timer(e); }
         if (event instanceof BackendList e) { list(e); }
-        if (event instanceof ClientGone e && requests.containsKey(e.request())) {
-            finish(requests.get(e.request()), null);
-        }
+        if (event instanceof ClientGone e) { finish(requests.get(e.request()), null); }
         if (event instanceof StreamStarted e) { streamStarted(e); }
+        if (event instanceof BodyState e) { bodyState(e, requests.get(e.request())); }
         if (event instanceof Retuned e) { retune(e.settings()); }
     }
 
@@ -122,10 +120,17 @@
         Request r = requests.get(e.request());
         if (r == null) { return; }
         Attempt a = r.attempts[e.attempt()];
-        sample(a.server, r.cls, e.elapsed());
+        a.begun = true;
+        answered(a, e.elapsed());
+        if (!r.ended) { aim(r, 0); }
         finish(r, a);
     }
 
+    private void bodyState(BodyState e, Request r) {
+        if (r != null && e.spent()) { r.most = r.sent; }
+        if (r != null && e.whole()) { r.whole(now); }
+    }
+
     // ---- Request lifecycle
 
     private void arrive(Arrival e) {
@@ -136,8 +141,7 @@
         long left = e.timeLeft();
         if (settings.tier() == 0 && c.lateWorth() == 0) { left = Math.min(left, c.aim() - waited); }
         if (waited > 0 && left < seen[e.classIndex()].latency) { left = 0; }
-        int most = settings.limits().maxAttempts();
-        Request r = new Request(e.request(), e.classIndex(), now, now + left, most);
+        Request r = new Request(e.request(), e.classIndex(), now, now + left, settings.limits());
         requests.put(r.id, r);
         open++;
         retryTokens = Math.min(RETRY_MAX, retryTokens + RETRY_SHARE);
@@ -199,6 +203,7 @@
     }
 
     private void finish(Request r, Attempt winner) {
+        if (r == null) { return; }
         for (int i = 0; i < r.sent && !r.ended; i++) {
             if (r.attempts[i].out && r.attempts[i] != winner) { withdraw(r.attempts[i]); }
         }
@@ -379,11 +384,7 @@
 
     private void learn(Attempt a, AttemptEnded e) {
         switch (e.outcome()) {
-            case OK -> {
-                sample(a.server, a.request.cls, e.elapsed());
-                allAnswers++;
-                if (!cold(a.server)) { warmAnswers++; }
-            }
+            case OK -> { if (!a.begun) { answered(a, e.elapsed()); } }
             case CANCELLED, MOOT -> { }
             default -> {
                 if (e.outcome() == Outcome.CONNECT_FAILED) { unconnectedAt = now; }
@@ -393,6 +394,12 @@
         }
     }
 
+    private void answered(Attempt a, long elapsed) {
+        sample(a.server, a.request.cls, elapsed);
+        allAnswers++;
+        warmAnswers += cold(a.server) ? 0 : 1;
+    }
+
     private void sample(Server s, int cls, long elapsed) {
         Seen c = seen[cls];
         double took = Math.max(elapsed, settings.tick());
@@ -482,16 +489,15 @@
     }
 
     private int subsetSize() {
-        double even = CALLERS * ranked.length / Math.max(1, settings.balancers());
-        return (int) Math.ceil(Math.max(even, SUBSET_MIN));
+        int balancers = Math.max(1, settings.balancers());
+        return (int) Math.max(SUBSET_MIN, Math.ceil(CALLERS * ranked.length / balancers));
     }
 
     private void choose(int size) {
         Server[] before = use;
         for (Server s : before) { s.inUse = false; }
         Server[] pool = Arrays.stream(ranked).filter(this::notDraining).toArray(Server[]::new);
-        int ready = pool.length;
-        int count = Math.min(size, ready);
+        int ready = pool.length, count = Math.min(size, ready);
         int perRound = Math.max(1, settings.balancers() / rounds());
         int start = ready == 0 ? 0 : (int) ((long) (settings.me() / rounds()) * ready / perRound % ready);
         use = new Server[count];
--- a/balancer/src/main/java/calicochute/decision/Track.java
+++ b/balancer/src/main/java/calicochute/decision/Track.java
@@ -59,8 +59,8 @@
         final Request request;
         final Server server;
         final int number;
-        final long sentAt;
-        boolean out = true, mayHaveRun = true;
+        long sentAt;
+        boolean out = true, mayHaveRun = true, begun;
         private Attempt older, newer;
 
         private Attempt(Request request, Server server, int number, long sentAt) {
@@ -83,19 +83,18 @@
     static final class Request {
         final long id;
         final int cls;
-        final long arrivedAt, deadline;
-        /** Attempts it may have, as the settings were when it arrived. */
-        final int most;
+        long arrivedAt, deadline;
         Attempt[] attempts = new Attempt[2];
-        int sent, out;
+        /** Attempts sent and out, and how many it may have, as the settings were when it arrived. */
+        int sent, out, most;
         boolean ended;
 
-        Request(long id, int cls, long arrivedAt, long deadline, int most) {
+        Request(long id, int cls, long arrivedAt, long deadline, Balancer.Limits limits) {
             this.id = id;
             this.cls = cls;
             this.arrivedAt = arrivedAt;
             this.deadline = deadline;
-            this.most = most;
+            most = limits.maxAttempts();
         }
 
         Attempt send(Server server, long now) {
@@ -112,18 +111,21 @@
             return a;
         }
 
+        /** Its last byte has come: all times count from here. */
+        void whole(long now) {
+            deadline += now - arrivedAt;
+            arrivedAt = now;
+            if (out > 0) { attempts[sent - 1].sentAt = now; }
+        }
+
         boolean tried(Server server) {
-            for (int i = 0; i < sent; i++) {
-                if (attempts[i].server == server) { return true; }
-            }
+            for (int i = 0; i < sent; i++) { if (attempts[i].server == server) { return true; } }
             return false;
         }
 
         /** The first attempt that is out or may have taken effect; null if there is none. */
         Attempt firstThatMayHaveRun() {
-            for (int i = 0; i < sent; i++) {
-                if (attempts[i].mayHaveRun) { return attempts[i]; }
-            }
+            for (int i = 0; i < sent; i++) { if (attempts[i].mayHaveRun) { return attempts[i]; } }
             return null;
         }
     }
--- a/balancer/src/main/java/calicochute/exchange/Answer.java
+++ b/balancer/src/main/java/calicochute/exchange/Answer.java
@@ -4,8 +4,8 @@
 
 /** The one final answer of a session. */
 public sealed interface Answer {
-    /** A backend server's answer, unchanged. */
-    record Served(List<Field> fields, byte[] body) implements Answer { }
+    /** A backend server's answer, unchanged; one that comes in pieces is answered for once its last byte is out. */
+    record Served(List<Field> fields, Body body) implements Answer { }
 
     /** Not done, and trying again does no harm; {@code retryAfter} in microseconds, 0 for no advice. */
     record Denied(long retryAfter) implements Answer { }
--- a/balancer/src/main/java/calicochute/exchange/Dispatch.java
+++ b/balancer/src/main/java/calicochute/exchange/Dispatch.java
@@ -30,6 +30,11 @@
         return outcome == null;
     }
 
+    /** It brought an answer, and the whole of it. */
+    public boolean ok() {
+        return outcome == Outcome.OK;
+    }
+
     boolean mayHaveRun() {
         return outcome == null || !outcome.provesNotRun();
     }
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -19,15 +19,18 @@
     /** What the site permitted when it began; holds to its end. */
     public final Limits limits;
     public final boolean retry;
+    /** How long the client waits, in microseconds. */
+    public final long patience;
     /** When the last byte came, and when the client will have given up: microseconds of the decision queue. */
-    public final long arrivedAt;
-    public final long deadline;
+    private long arrivedAt;
+    private boolean whole;
+    private boolean passing;
     private final Respondent respondent;
     private final List<Dispatch> dispatches = new ArrayList<>(3);
     private boolean closed;
 
     public Exchange(long id, String clientId, Message message, int classIndex, int tenantIndex, Limits limits,
-                    boolean retry, long arrivedAt, long deadline, Respondent respondent) {
+                    boolean retry, long arrivedAt, long patience, Respondent respondent) {
         this.id = id;
         this.clientId = clientId;
         this.message = message;
@@ -36,10 +39,46 @@
         this.limits = limits;
         this.retry = retry;
         this.arrivedAt = arrivedAt;
-        this.deadline = deadline;
+        this.patience = patience;
+        whole = message.body() instanceof Body.Whole;
         this.respondent = respondent;
     }
 
+    /** True once the last byte of the session has come: only then does its time run. */
+    public boolean whole() {
+        return whole;
+    }
+
+    /** The last byte has come. */
+    public void arrived(long now) {
+        whole = true;
+        arrivedAt = now;
+    }
+
+    public long arrivedAt() {
+        return arrivedAt;
+    }
+
+    /** When the client will have given up; as good as never while the session is not whole. */
+    public long deadline() {
+        return whole ? arrivedAt + patience : Long.MAX_VALUE / 2;
+    }
+
+    /** True if the body comes in pieces and some have been handed on: there can't be another dispatch. */
+    public boolean spent() {
+        return message.body() instanceof Body.Streamed body && body.pipe().taken();
+    }
+
+    /** Its answer is being passed on in pieces. */
+    public boolean passing() {
+        return passing;
+    }
+
+    /** An answer in pieces has begun, or is over. */
+    public void passing(boolean under) {
+        passing = under;
+    }
+
     /** Adds the next dispatch; they are numbered from 0. */
     public Dispatch dispatch(String server, long now) {
         Dispatch dispatch = new Dispatch(this, dispatches.size(), server, now);
@@ -52,6 +91,11 @@
         return number >= 0 && number < dispatches.size() ? dispatches.get(number) : null;
     }
 
+    /** The newest dispatch, or null. */
+    public Dispatch latest() {
+        return dispatch(dispatches.size() - 1);
+    }
+
     public int dispatches() {
         return dispatches.size();
     }
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -28,9 +28,15 @@
  */
 final class ClientConnection extends ServerHttp1IOEventHandler {
     static final Http1Config LIMITS = Http1Config.custom().setBufferSize(Bounds.BUFFER)
-        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS).build();
-    /** From a connection's start, or a later request's first byte, to the request's last byte. */
-    private static final long REQUEST_MS = 2000;
+        .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS)
+        .setInitialWindowSize(Bounds.WINDOW).build();
+    /** From a connection's start, or a later request's first byte, to the end of the request's head. */
+    private static final long REQUEST_MS = 2400;
+    /** A body may stand still for so long, and comes at so many bytes in a millisecond from then on. */
+    private static final long STILL_MS = 2000;
+    private static final long RATE = 16;
+    /** A client may leave a long answer unread for so long. */
+    private static final long UNREAD_MS = 15_000;
     /** A connection with no request open is kept this long. */
     private static final long IDLE_MS = 10_000;
     /** An answer just given is still on its way out. */
@@ -49,6 +55,11 @@
         /** Nothing more is read: something here was refused, or came before the answer to an earlier request. */
         volatile boolean last;
         long since = System.nanoTime();
+        /** The body under way: when its head had come, its bytes, how long we did not read it, and since when. */
+        private long bodySince;
+        private long bodyBytes;
+        private long pausedNanos;
+        private volatile long pausedSince;
 
         State(Frontend frontend, ProtocolIOSession session) {
             this.frontend = frontend;
@@ -61,6 +72,52 @@
             return handler != null && handler.owesAnswer();
         }
 
+        /** The head of a request has come: from here on its body's pace counts. */
+        void headRead() {
+            bodySince = System.nanoTime();
+            bodyBytes = 0;
+            pausedNanos = 0;
+            pausedSince = 0;
+        }
+
+        void bodyRead(int bytes) {
+            bodyBytes += bytes;
+        }
+
+        /** This side does not read, since what came before has nowhere to go; any thread may call. */
+        synchronized void paused(boolean now) {
+            if (now && pausedSince == 0) {
+                pausedSince = System.nanoTime();
+            } else if (!now && pausedSince != 0) {
+                pausedNanos += System.nanoTime() - pausedSince;
+                pausedSince = 0;
+            }
+        }
+
+        /** How long the client may yet say nothing, in milliseconds; not positive if it is too slow. */
+        private synchronized long patienceMs() {
+            if (bodySince == 0) {
+                return REQUEST_MS - ageMs();
+            }
+            if (pausedSince != 0) {
+                return IDLE_MS;
+            }
+            long took = (System.nanoTime() - bodySince - pausedNanos) / 1_000_000;
+            return Math.min(STILL_MS, STILL_MS + bodyBytes / RATE - took);
+        }
+
+        /** A long answer goes out: the client's reading is awaited. */
+        void passing() {
+            session.setSocketTimeout(Timeout.ofMilliseconds(UNREAD_MS));
+        }
+
+        /** An answer's last byte is on its way. */
+        void answered() {
+            if (!receiving) {
+                session.setSocketTimeout(Timeout.ofMilliseconds(last ? LINGER_MS : IDLE_MS));
+            }
+        }
+
         long ageMs() {
             return (System.nanoTime() - since) / 1_000_000;
         }
@@ -74,6 +131,7 @@
         /** A request has come whole: from here on the balancer, not the client, is awaited. */
         void received() {
             receiving = false;
+            bodySince = 0;
             session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
         }
     }
@@ -115,11 +173,12 @@
         if (!state.receiving && !state.owesAnswer()) {
             state.receiving = true;
             state.since = System.nanoTime();
+            state.bodySince = 0;
         }
         super.inputReady(session, source);
         if (state.receiving) {
             // Guards against a client that sends a byte now and then: HttpCore's own time-out starts anew with each.
-            long left = REQUEST_MS - state.ageMs();
+            long left = state.patienceMs();
             if (left <= 0) {
                 close(Counter.CLIENTS_CLOSED_SLOW);
             } else {
@@ -138,7 +197,15 @@
             state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
             return;
         }
-        if (!state.owesAnswer()) {
+        SessionHandler handler = state.latest;
+        if (state.receiving && state.pausedSince != 0) {
+            return;
+        }
+        if (handler != null && handler.clientStalls() || state.receiving && state.owesAnswer()) {
+            // It does not read its answer, or has stopped in the middle of its body; ending the connection tells the session.
+            state.frontend.counters().count(Counter.CLIENTS_CLOSED_SLOW);
+            session.close(CloseMode.IMMEDIATE);
+        } else if (!state.owesAnswer()) {
             close(state.receiving ? Counter.CLIENTS_CLOSED_SLOW : Counter.CLIENTS_CLOSED_IDLE);
         }
     }
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -37,6 +37,7 @@
     private final Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
     private final Listening listening;
     private final int room;
+    private final int window;
     /** Clients' connections, the oldest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int connected;
@@ -52,6 +53,7 @@
         this.ready = ready;
         this.presence = presence;
         room = configuration.bounds().clientConnections();
+        window = configuration.bounds().window();
         IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
         listening = inherited == null ? new BoundListening(configuration.listen(), handlers, REACTOR, onFault, counters)
             : new InheritedListening(inherited, handlers, REACTOR, onFault);
@@ -86,6 +88,11 @@
         return path.equals(COUNTERS) ? counters.text() : ready.getAsBoolean() && presence.get().ready() ? "ready\n" : null;
     }
 
+    /** How far ahead of its server a long request is read. */
+    int window() {
+        return window;
+    }
+
     SessionReader reader() {
         return reader;
     }
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -1,13 +1,14 @@
 package calicochute.frontend;
 
 import calicochute.exchange.Answer;
+import calicochute.exchange.Body;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
+import calicochute.exchange.Pipe;
 import calicochute.exchange.Respondent;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Log;
 import calicochute.settings.Bounds;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -25,21 +26,28 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
 
-/** One request on a client's connection: collects it, hands it over as an exchange, writes the answer. */
+/**
+ * One request on a client's connection: hands it over as an exchange, whole if it is short and in pieces if not, and writes
+ * the answer likewise.
+ */
 final class SessionHandler implements AsyncServerExchangeHandler, Respondent {
-    /** Beyond this much of a body that is too long the connection is ended instead of read on. */
-    private static final int DISCARD_LIMIT = 4 * Bounds.BODY;
     private final ClientConnection.State connection;
     private final Frontend frontend;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-    private long received;
+    private final Pipe body = new Pipe();
+    private long declared = -1;
     private HttpRequest request;
     private ResponseChannel channel;
     private HttpContext context;
-    private Exchange exchange;
-    private volatile ByteBuffer answer = ByteBuffer.allocate(0);
+    private volatile Exchange exchange;
     private volatile boolean answering;
+    private volatile Pipe answer = new Pipe();
+    private boolean hooked;
+    /** An answer in pieces has begun and its end has not been told. */
+    private volatile boolean passing;
+    private volatile boolean produced;
+    private int cutRounds;
 
     SessionHandler(ClientConnection.State connection) {
         this.connection = connection;
@@ -52,48 +60,59 @@
         request = head;
         channel = out;
         context = ctx;
+        connection.headRead();
         if (entity == null) {
-            begin();
-        } else if (entity.getContentLength() > Bounds.BODY) {
+            arrived();
+        } else if (entity.getContentLength() > Bounds.LONGEST_BODY) {
             // At the head: a client that says it will send too much need not do so first.
             refuse(tooLong());
+        } else {
+            declared = entity.getContentLength();
         }
     }
 
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
+        connection.paused(true);
+        body.creditTo(bytes -> {
+            connection.paused(false);
+            try {
+                capacity.update(bytes);
+            } catch (IOException e) {
+                Log.info("client-connection", String.valueOf(e.getMessage()));
+            }
+        });
     }
 
     @Override
     public void consume(ByteBuffer data) throws IOException {
-        received += data.remaining();
-        if (received > DISCARD_LIMIT) {
-            throw new IOException("body over " + DISCARD_LIMIT + " bytes");
-        }
-        if (received <= Bounds.BODY) {
-            byte[] bytes = new byte[data.remaining()];
-            data.get(bytes);
-            body.write(bytes, 0, bytes.length);
-        } else {
-            data.position(data.limit());
-            if (!answering) {
-                try {
-                    refuse(tooLong());
-                } catch (HttpException e) {
-                    throw new IOException(e);
+        connection.bodyRead(data.remaining());
+        try {
+            if (body.put() + data.remaining() > Bounds.LONGEST_BODY) {
+                data.position(data.limit());
+                if (answering) {
+                    throw new IOException("body over " + Bounds.LONGEST_BODY + " bytes");
+                }
+                refuse(tooLong());
+            } else {
+                body.put(data);
+                if (exchange == null && !answering && body.put() > Bounds.BODY) {
+                    body.shrink(Bounds.WINDOW - frontend.window());
+                    begin(new Body.Streamed(body, declared));
                 }
             }
+        } catch (HttpException e) {
+            throw new IOException(e);
         }
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        begin();
+        arrived();
     }
 
     private static SessionReader.BadInput tooLong() {
-        return new SessionReader.BadInput(413, "body over " + Bounds.BODY + " bytes");
+        return new SessionReader.BadInput(413, "body over " + Bounds.LONGEST_BODY + " bytes");
     }
 
     private void refuse(SessionReader.BadInput e) throws HttpException, IOException {
@@ -104,11 +123,18 @@
         respond(e.status, List.of(), (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    private void begin() throws HttpException, IOException {
-        if (answering) {
-            return;
-        }
+    /** The last byte of the request has come. */
+    private void arrived() throws HttpException, IOException {
         connection.received();
+        body.end();
+        if (exchange != null) {
+            frontend.sessions().arrived(exchange);
+        } else if (!answering) {
+            begin(new Body.Whole(body.all()));
+        }
+    }
+
+    private void begin(Body from) throws HttpException, IOException {
         if (frontend.answersItself(request.getPath())) {
             String text = frontend.page(request.getPath());
             respond(text == null ? 503 : 200, List.of(), (text == null ? "not ready\n" : text)
@@ -116,7 +142,7 @@
             return;
         }
         try {
-            exchange = frontend.reader().read(request, body.toByteArray(), frontend.now(), this);
+            exchange = frontend.reader().read(request, from, frontend.now(), this);
         } catch (SessionReader.BadInput e) {
             refuse(e);
             return;
@@ -147,49 +173,104 @@
     }
 
     private void respond(int status, List<Field> fields, byte[] bytes) throws HttpException, IOException {
+        respond(status, fields, new Body.Whole(bytes));
+    }
+
+    private void respond(int status, List<Field> fields, Body from) throws HttpException, IOException {
         HttpResponse response = new BasicHttpResponse(status);
         for (Field field : fields) {
             response.addHeader(field.name(), field.value());
         }
-        if (connection.last || frontend.closing()) {
+        if (connection.last || frontend.closing() && !connection.receiving) {
             response.addHeader("Connection", "close");
         }
-        answer = ByteBuffer.wrap(bytes);
+        long length;
+        if (from instanceof Body.Streamed streamed) {
+            answer = streamed.pipe();
+            length = streamed.length();
+            passing = true;
+        } else {
+            byte[] bytes = ((Body.Whole) from).bytes();
+            Pipe own = new Pipe();
+            own.put(ByteBuffer.wrap(bytes));
+            own.end();
+            answer = own;
+            length = bytes.length;
+        }
         answering = true;
-        response.addHeader("Content-Length", Integer.toString(bytes.length));
-        channel.sendResponse(response, bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null),
-            context);
+        // What is still held of a request that is answered before its end is not wanted any more; the rest is read and dropped.
+        body.abandon();
+        if (length >= 0) {
+            response.addHeader("Content-Length", Long.toString(length));
+        } else {
+            response.addHeader("Transfer-Encoding", "chunked");
+        }
+        channel.sendResponse(response, length == 0 ? null : new BasicEntityDetails(length, null), context);
     }
 
     @Override
     public int available() {
-        return answer.remaining();
+        return produced || !answering ? 0 : answer.drained() || answer.cut() ? 1 : answer.held();
     }
 
     @Override
     public void produce(DataStreamChannel out) throws IOException {
-        if (answer.hasRemaining()) {
-            out.write(answer);
-            if (!answer.hasRemaining()) {
-                out.endStream();
+        if (produced) {
+            return;
+        }
+        if (!hooked) {
+            hooked = true;
+            answer.whenReady(out::requestOutput);
+            if (passing) {
+                connection.passing();
             }
         }
+        answer.take(out::write);
+        if (answer.cut()) {
+            // Guards against a client that takes a part for the whole: the connection ends with the message unfinished, but
+            // only once what there was has left HttpCore's own buffer.
+            if (++cutRounds > 2) {
+                connection.session.close(CloseMode.GRACEFUL);
+            }
+        } else if (answer.drained()) {
+            produced = true;
+            out.endStream();
+            passed(true);
+            connection.answered();
+        }
+    }
+
+    private void passed(boolean whole) {
+        if (passing) {
+            passing = false;
+            frontend.sessions().passed(exchange, whole);
+        }
     }
 
-    /** True from the hand-over of a session until its answer is begun. */
+    /** True from the hand-over of a session until its answer is begun, or over if it goes in pieces. */
     boolean owesAnswer() {
-        return exchange != null && !answering;
+        return exchange != null && !answering || passing;
+    }
+
+    /** The client does not read an answer that there is. */
+    boolean clientStalls() {
+        return passing && answer.held() > 0;
     }
 
     @Override
     public void failed(Exception cause) {
-        if (owesAnswer()) {
+        body.breakOff();
+        if (passing) {
+            answer.abandon();
+            passed(false);
+        } else if (owesAnswer()) {
             frontend.sessions().clientGone(exchange);
         }
     }
 
     @Override
     public void releaseResources() {
-        // Nothing is held beyond the exchange itself.
+        // Guards against an end that HttpCore tells in no other way.
+        passed(produced);
     }
 }
--- a/balancer/src/main/java/calicochute/frontend/SessionReader.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionReader.java
@@ -2,6 +2,7 @@
 
 import calicochute.decision.Balancer.Effect;
 import calicochute.decision.Balancer.RequestClass;
+import calicochute.exchange.Body;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Message;
@@ -42,7 +43,7 @@
         this.settings = settings;
     }
 
-    Exchange read(HttpRequest request, byte[] body, long now, Respondent respondent) throws BadInput {
+    Exchange read(HttpRequest request, Body body, long now, Respondent respondent) throws BadInput {
         String clientId = one(request, "X-Txn", true);
         if (!ID.matcher(clientId).matches()) {
             throw new BadInput(400, "X-Txn is not 16 hex digits");
@@ -53,7 +54,7 @@
         boolean tenants = !told.current().tenants().isEmpty();
         String tenant = one(request, "X-Org", tenants);
         int tenantIndex = tenants ? known(told.tenantIndex(tenant), "X-Org") : -1;
-        long deadline = now + 1000 * wait(one(request, "X-Remaining-Ms", true));
+        long patience = 1000 * wait(one(request, "X-Remaining-Ms", true));
         RequestClass c = told.classes().get(classIndex);
         if (!request.getMethod().equals(c.effect() == Effect.REPEATABLE ? "GET" : "POST")) {
             throw new BadInput(405, request.getMethod() + " does not go with the class " + c.name());
@@ -65,7 +66,7 @@
         }
         Message message = new Message(request.getMethod(), request.getPath(), passed(request), body);
         return new Exchange(lastId.incrementAndGet(), clientId, message, classIndex, tenantIndex,
-            told.current().limits(), "1".equals(one(request, "X-Resent", false)), now, deadline, respondent);
+            told.current().limits(), "1".equals(one(request, "X-Resent", false)), now, patience, respondent);
     }
 
     private static List<Field> passed(HttpRequest request) {
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -224,14 +224,55 @@
         }
         open.put(exchange.id, exchange);
         unanswered = open.size();
-        long left = exchange.deadline - ANSWER_MARGIN - queue.now();
-        deadlines.put(exchange.id, queue.after(Math.max(0, left) + ANSWER_MARGIN - GUARD_MARGIN,
-            () -> overdue(exchange)));
+        long left = (exchange.whole() ? exchange.deadline() - queue.now() : exchange.patience) - ANSWER_MARGIN;
+        if (exchange.whole()) {
+            guardDeadline(exchange);
+        } else {
+            counters.count(Counter.SESSIONS_IN_PIECES);
+        }
         tell(new Balancer.Arrival(exchange.id, exchange.classIndex, exchange.tenantIndex, null, Math.max(0, left),
             exchange.retry));
     }
 
+    private void guardDeadline(Exchange exchange) {
+        deadlines.put(exchange.id, queue.after(
+            Math.max(ANSWER_MARGIN, exchange.deadline() - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
+    }
+
+    @Override
+    public void arrived(Exchange exchange) {
+        queue.post(() -> {
+            exchange.arrived(queue.now());
+            if (!exchange.closed() && open.containsKey(exchange.id)) {
+                guardDeadline(exchange);
+                tell(new Balancer.BodyState(exchange.id, false, true));
+            }
+        });
+    }
+
+    @Override
+    public void passed(Exchange exchange, boolean whole) {
+        queue.post(() -> over(exchange, whole));
+    }
+
+    /** An answer in pieces is over: its session ends only here. */
+    private void over(Exchange exchange, boolean whole) {
+        if (!exchange.passing()) {
+            return;
+        }
+        exchange.passing(false);
+        // Where the server broke off the session has failed; where the client went away nothing is counted against it.
+        boolean cut = exchange.latest() != null && !exchange.latest().out() && !exchange.latest().ok();
+        counters.count(whole ? Counter.SESSIONS_SERVED : cut ? Counter.SESSIONS_FAILED : Counter.SESSIONS_CLIENT_GONE);
+        ended(exchange, whole ? Figures.End.COMPLETED : cut ? Figures.End.FAILED : Figures.End.GONE);
+        if (!whole && exchange.latest() != null && exchange.latest().out()) {
+            backend.cancel(exchange.latest());
+        }
+        retire(exchange);
+    }
+
     private void gone(Exchange exchange) {
+        over(exchange, false);
         if (!exchange.closed()) {
             counters.count(Counter.SESSIONS_CLIENT_GONE);
             ended(exchange, Figures.End.GONE);
@@ -272,7 +313,7 @@
 
     /** Forgets a session that is closed and has no dispatch out. */
     private void retire(Exchange exchange) {
-        if (exchange.closed() && !exchange.anyOut() && open.remove(exchange.id) != null) {
+        if (exchange.closed() && !exchange.anyOut() && !exchange.passing() && open.remove(exchange.id) != null) {
             clientIds.remove(exchange.clientId);
             DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
             if (alarm != null) {
@@ -293,11 +334,37 @@
         if (answer != null) {
             answer(exchange, answer);
         }
+        if (!exchange.closed() && exchange.spent()) {
+            // What was handed on of its body can't be handed on again.
+            tell(new Balancer.BodyState(exchange.id, true, false));
+        }
         tell(new Balancer.AttemptEnded(exchange.id, dispatch.number, dispatch.server, exchange.closed(), outcome,
-            queue.now() - dispatch.sentAt, load));
+            elapsed(dispatch), load));
         retire(exchange);
     }
 
+    /** From the session's last byte, where it was sent on before that. */
+    private long elapsed(Dispatch dispatch) {
+        return queue.now() - Math.max(dispatch.sentAt, dispatch.exchange.arrivedAt());
+    }
+
+    @Override
+    public void dispatchBegun(Dispatch dispatch, Answer answer) {
+        Exchange exchange = dispatch.exchange;
+        exchange.passing(true);
+        if (!exchange.answer(answer)) {
+            exchange.passing(false);
+            backend.cancel(dispatch);
+            return;
+        }
+        counters.count(Counter.ANSWERS_IN_PIECES);
+        DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
+        if (alarm != null) {
+            alarm.cancel();
+        }
+        tell(new Balancer.StreamStarted(exchange.id, dispatch.number, dispatch.server, elapsed(dispatch)));
+    }
+
     @Override
     public void dispatchWritten() {
         figures.dispatchWritten();
@@ -329,7 +396,7 @@
         counters.mustHold(exchange.limits.secondCopies() || !exchange.anyOut(), "a second copy of a session");
         Dispatch dispatch = exchange.dispatch(server, queue.now());
         if (legal) {
-            backend.send(dispatch, Math.min(timeout, exchange.deadline - ANSWER_MARGIN - queue.now()));
+            backend.send(dispatch, Math.min(timeout, exchange.deadline() - ANSWER_MARGIN - queue.now()));
         } else {
             queue.post(() -> dispatchEnded(dispatch, Outcome.MOOT, null, null));
         }
@@ -347,7 +414,7 @@
     public void fail(long request) {
         Exchange exchange = open.get(request);
         if (exchange != null) {
-            answer(exchange, new Answer.Failed(exchange.deadline - ANSWER_MARGIN <= queue.now()));
+            answer(exchange, new Answer.Failed(exchange.deadline() - ANSWER_MARGIN <= queue.now()));
         }
     }
 
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -25,6 +25,7 @@
                             Settings settings, Document document) {
     private static final String ADMIN_VARIABLE = "PROXY_ADMIN_ADDR";
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_MEMORY_MB = 128;
     private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
 
     /** Reads a configuration file; every complaint names the file's faulty entry. */
@@ -46,7 +47,8 @@
                 admin == null || admin.isEmpty() ? null : address("admin_addr", admin),
                 address("discovery", text(root, "discovery")),
                 Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
-                    admin != null && !admin.isEmpty()),
+                    admin != null && !admin.isEmpty(),
+                    limits.has("memory_mb") ? limits.get("memory_mb").getAsInt() : DEFAULT_MEMORY_MB),
                 Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
                 root.has("known") ? root.get("known").toString() : "", settings, document);
         } catch (IOException e) {
--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/balancer/src/test/java/calicochute/decision/MechanismTest.java
@@ -521,4 +521,39 @@
         f.outcome(0, Outcome.ERROR, 1000);
         assertEquals("fail " + (nextRequest + 2), f.lastSaid(), "its new effect forbids another attempt");
     }
+
+    /** A body in pieces: times count from its last byte, and once some of it is handed on there is no further attempt. */
+    @Test
+    void aBodyInPiecesIsTimedFromItsEndAndNotRepeated() {
+        Fixture f = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS));
+        f.list(fleet(4));
+        for (int i = 0; i < 30; i++) {
+            one(f, Outcome.OK, 100_000);
+        }
+        f.arrive(nextRequest, 4 * SECOND);
+        f.now += 10 * SECOND;
+        f.on(new Balancer.BodyState(nextRequest, false, true));
+        f.now += SECOND;
+        int sent = f.sent.size();
+        f.outcome(0, Outcome.ERROR, SECOND);
+        assertEquals(sent + 1, f.sent.size(), "its deadline began with its last byte");
+        f.on(new Balancer.BodyState(nextRequest, true, false));
+        f.outcome(1, Outcome.ERROR, 1000);
+        assertEquals(sent + 1, f.sent.size());
+        assertEquals("refuse " + nextRequest, f.lastSaid());
+    }
+
+    /** The first piece of a long answer is its sample; the last one, long after, is not. */
+    @Test
+    void aLongAnswerIsSampledOnce() {
+        Fixture f = steady(Effect.REPEATABLE);
+        f.arrive(nextRequest, 4 * SECOND);
+        String backend = f.lastBackend();
+        f.now += 100_000;
+        f.on(new Balancer.StreamStarted(nextRequest, 0, backend, 100_000));
+        double before = speed(f, backend);
+        f.now += 10 * SECOND;
+        f.on(new Balancer.AttemptEnded(nextRequest, 0, backend, true, Outcome.OK, 10 * SECOND, null));
+        assertEquals(before, speed(f, backend));
+    }
 }
--- a/balancer/src/test/java/calicochute/process/Http.java
+++ b/balancer/src/test/java/calicochute/process/Http.java
@@ -20,9 +20,43 @@
         }
         String text = head.toString(StandardCharsets.ISO_8859_1);
         String length = new Http(text, null).header("Content-Length");
+        if ("chunked".equalsIgnoreCase(new Http(text, null).header("Transfer-Encoding"))) {
+            return new Http(text, chunks(in));
+        }
         return new Http(text, in.readNBytes(length == null ? 0 : Integer.parseInt(length)));
     }
 
+    private static byte[] chunks(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            int size = Integer.parseInt(line(in).replaceFirst(";.*", ""), 16);
+            byte[] chunk = in.readNBytes(size);
+            if (chunk.length < size) {
+                throw new IOException("cut short after " + (body.size() + chunk.length) + " bytes");
+            }
+            body.write(chunk);
+            String end = line(in);
+            while (size == 0 && !end.isEmpty()) {
+                end = line(in);
+            }
+            if (size == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        while (!line.toString().endsWith("\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("cut short");
+            }
+            line.append((char) b);
+        }
+        return line.substring(0, line.length() - 2);
+    }
+
     static byte[] message(String head, byte[] body) {
         byte[] start = (head + (head.startsWith("GET") ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n")
             .getBytes(StandardCharsets.ISO_8859_1);
--- /dev/null
+++ b/balancer/src/test/java/calicochute/process/PiecesTest.java
@@ -0,0 +1,207 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertArrayEquals;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+
+/** Messages longer than what is kept whole, and messages cut at any point. */
+public class PiecesTest extends OneServer {
+    private static final int LONG = 3_000_000;
+
+    @Override
+    Program program() throws Exception {
+        return Program.withAdmin(discovery, server);
+    }
+
+    private static byte[] random(int length) {
+        byte[] bytes = new byte[length];
+        new Random(length).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static byte[] chunked(String head, byte[] body, int size) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes((head + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        for (int at = 0; at < body.length; at += size) {
+            int length = Math.min(size, body.length - at);
+            out.writeBytes((Integer.toHexString(length) + ";ext=\"a b\"\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.write(body, at, length);
+            out.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        out.writeBytes("0\r\nX-Trailer: t\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        return out.toByteArray();
+    }
+
+    @Test
+    public void longMessagesPassUnchanged() throws Exception {
+        byte[] body = random(LONG);
+        server.script = r -> Http.message("HTTP/1.1 200 OK\r\n", r.body());
+        Http answer = program.send(session(ID, "scan"), body);
+        assertEquals(200, answer.status());
+        assertArrayEquals(body, answer.body());
+        assertArrayEquals(body, server.requests.get(0).body());
+        server.script = r -> chunked("HTTP/1.1 200 OK\r\n", r.body(), 7001);
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write(chunked(session(ID, "order"), body, 5003));
+            assertArrayEquals(body, Http.read(socket.getInputStream()).body());
+            socket.getOutputStream().write(Http.message(session(ID, "order"), new byte[3]));
+            assertEquals("the connection goes on", 3, Http.read(socket.getInputStream()).body().length);
+        }
+        await("counted at the last byte", () -> program.figure("completed.order") == 2);
+        assertEquals(0, program.figure("pending"));
+        assertEquals(3, program.figure("upstream_requests"));
+    }
+
+    /** Cut at every byte, with chunks, extensions, a trailer and empty lines ahead: the same session. */
+    @Test
+    public void aRequestCutAtEveryByteIsTheSame() throws Exception {
+        byte[] body = random(40);
+        try (Socket socket = program.connect()) {
+            socket.setTcpNoDelay(true);
+            for (byte b : ("\r\n" + new String(chunked(session(ID, "order"), body, 9), StandardCharsets.ISO_8859_1))
+                .getBytes(StandardCharsets.ISO_8859_1)) {
+                socket.getOutputStream().write(b);
+                socket.getOutputStream().flush();
+            }
+            assertEquals(200, Http.read(socket.getInputStream()).status());
+        }
+        assertArrayEquals(body, server.requests.get(0).body());
+    }
+
+    /** A long answer's first bytes are with the client before the server has given the last. */
+    @Test
+    public void theFirstPiecesAreNotHeldBack() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Socket client = restartBefore(listener);
+            try (client; Socket socket = listener.accept()) {
+                Http.read(socket.getInputStream());
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().write(new byte[1000]);
+                InputStream in = client.getInputStream();
+                byte[] first = in.readNBytes(1000);
+                assertEquals(1000, first.length);
+                assertEquals("not ended before its last byte", 1, program.figure("pending"));
+                // What there is is passed on, and the end can be seen to be none.
+                socket.getOutputStream().write(new byte[5000]);
+                socket.getOutputStream().flush();
+                socket.shutdownOutput();
+                int rest = in.readAllBytes().length;
+                assertTrue("rest " + rest, rest > 4500 && rest < LONG - 1000);
+            }
+        }
+        await("it has failed", () -> program.figure("failed.view") == 1);
+        assertEquals(0, program.figure("pending"));
+    }
+
+    /** A program whose one server listens there; a session of it is on its way when this returns. */
+    private Socket restartBefore(ServerSocket listener) throws Exception {
+        program.stop();
+        program = Program.before(discovery, "127.0.0.1:" + listener.getLocalPort());
+        Socket client = program.connect();
+        client.getOutputStream().write(Http.message(session(ID, "view"), new byte[0]));
+        return client;
+    }
+
+    /** A client that goes away in the middle of its body has run nothing: the server never gets the last byte. */
+    @Test
+    public void aClientThatGoesAwayHasRunNothing() throws Exception {
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write((session(ID, "order") + "Content-Length: " + LONG + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write(new byte[LONG - 1]);
+        }
+        await("the dispatch has ended", () -> program.counter("dispatches_cancelled") == 1);
+        await("nothing is pending", () -> program.figure("pending") == 0);
+        assertEquals(0, server.requests.size());
+        assertEquals(0, program.figure("upstream_requests"));
+    }
+
+    /**
+     * A server that breaks off before the last byte has run nothing, but what it was given is gone: a deny, and the client
+     * gets to read it though it still writes.
+     */
+    @Test
+    public void aBrokenUploadIsADeny() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Socket first = restartBefore(listener);
+            try (first; Socket socket = listener.accept(); Socket client = program.connect()) {
+                Http.read(socket.getInputStream());
+                client.getOutputStream().write((session(ID.replace('9', '7'), "order") + "Content-Length: " + LONG + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+                client.getOutputStream().write(new byte[200_000]);
+                Socket upload = listener.accept();
+                assertTrue(upload.getInputStream().readNBytes(100_000).length == 100_000);
+                upload.setSoLinger(true, 0);
+                upload.close();
+                await("denied at once", () -> program.figure("rejected.order") == 1);
+                client.getOutputStream().write(new byte[LONG - 200_000]);
+                Http answer = Http.read(client.getInputStream());
+                assertEquals(503, answer.status());
+                assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+            }
+        }
+    }
+
+    /** Long answers that nobody reads, many times the heap together: they wait at their servers, and all come whole. */
+    @Test
+    public void memoryIsBounded() throws Exception {
+        program.stop();
+        program = Program.withHeap("40m", discovery, server);
+        byte[] body = random(16_000_000);
+        server.script = r -> Http.message("HTTP/1.1 200 OK\r\n", body);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Socket client = program.connect();
+            client.getOutputStream().write(Http.message(session(String.format("%016x", i), "view"), new byte[0]));
+            clients.add(client);
+        }
+        await("all have begun", () -> program.counter("answers_in_pieces") == clients.size());
+        List<CompletableFuture<Boolean>> whole = new ArrayList<>();
+        for (Socket client : clients) {
+            whole.add(CompletableFuture.supplyAsync(() -> {
+                try (client) {
+                    return Arrays.equals(body, Http.read(client.getInputStream()).body());
+                } catch (IOException e) {
+                    return false;
+                }
+            }));
+        }
+        for (CompletableFuture<Boolean> one : whole) {
+            assertTrue(one.get(60, TimeUnit.SECONDS));
+        }
+        assertTrue(program.log(), !program.log().contains("OutOfMemory"));
+    }
+
+    /** A client that stops in the middle of its body is not waited for, and what it had begun is taken back. */
+    @Test
+    public void aBodyThatStandsStillIsEnded() throws Exception {
+        try (Socket socket = program.connect()) {
+            OutputStream out = socket.getOutputStream();
+            out.write((session(ID, "order") + "Content-Length: " + LONG + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.write(new byte[200_000]);
+            assertTrue(Program.ended(socket));
+        }
+        await("the dispatch has ended", () -> program.counter("dispatches_cancelled") == 1);
+        assertEquals(0, server.requests.size());
+        assertEquals(1, program.counter("clients_closed_slow"));
+    }
+}
