A new version takes over what the old one's module has learnt

Ruled out: refused connections (none at the first tier), the hand-over of clients' connections (0 requests ended at the door).

Change: decision.Handover moves state out of one module and into the next, decides nothing; the serving process notes it twice a second beside the bans, a newcomer takes what is at most 10 s old, with its age, and only of the same start of a server.

--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -31,7 +31,7 @@
     /** Unsampled for this long, an estimate has mostly returned to the typical: the way back for the sick. */
     private static final double FORGET = 10e6;
     /** How strongly an own attempt still out discounts its backend. */
-    private static final double CROWD = 0.5;
+    static final double CROWD = 0.5;
     /** Where crossing zones is priced, a backend abroad counts at this share of its speed. */
     private static final double ABROAD = 0.35;
     /** Typical latencies past which an attempt's age bounds its backend's speed, and tells no load. */
@@ -64,18 +64,18 @@
     /** All that are listed, in this instance's order; the subset in use; the walk and where it stands. */
     private Server[] ranked = new Server[0], use = ranked, walk = ranked;
     private int walkAt;
-    private final Map<String, Seen> named = new HashMap<>();
+    final Map<String, Seen> named = new HashMap<>();
     private Seen[] seen;
-    private double typical = 1;
+    double typical = 1;
     private boolean pollNext = true, subscribed;
-    private double retryTokens = RETRY_MAX / 2;
+    double retryTokens = RETRY_MAX / 2;
     /** Admission: requests open and how many may be; smoothed share of the slack that queueing takes. */
     private int open;
-    private double limit = Double.MAX_VALUE, aimRatio;
+    double limit = Double.MAX_VALUE, aimRatio;
     private double[] arrivals = { }, tenantTokens = { };
     private long now, unconnectedAt = Long.MIN_VALUE / 2, reviewedAt, limitCutAt, tenantTokensAt;
     /** Answers a second: of a warm backend in use on average, and of all together. */
-    private double warmRate, answerRate;
+    double warmRate, answerRate;
     private int warmAnswers, allAnswers, failedCalls;
     private Actions actions;
 
--- /dev/null
+++ b/balancer/src/main/java/calicochute/decision/Handover.java
@@ -0,0 +1,56 @@
+package calicochute.decision;
+
+import calicochute.decision.Track.Seen;
+import calicochute.decision.Track.Server;
+import java.util.TreeMap;
+
+/** Moves what a module has learnt to the one that takes over; decides nothing. */
+public final class Handover {
+    private Handover() {
+    }
+
+    /** What the module knows as it counts now: aged, and bounded by the attempts that are out. */
+    public static Learnt of(Balancer balancer) {
+        Choice from = (Choice) balancer;
+        var servers = new TreeMap<String, Learnt.OfServer>();
+        for (Server s : from.servers.values()) {
+            // Without the discount for the attempts out: the other module has none.
+            servers.put(s.id, new Learnt.OfServer(from.effective(s) * (1 + Choice.CROWD * s.out), s.polled,
+                s.entry.startedAt()));
+        }
+        var classes = new TreeMap<String, Learnt.OfClass>();
+        from.named.forEach((name, c) ->
+            classes.put(name, new Learnt.OfClass(c.latency, c.base, c.answers, c.patience, c.votes)));
+        return new Learnt(servers, classes, from.typical, from.limit, from.aimRatio, from.warmRate, from.answerRate,
+            from.retryTokens);
+    }
+
+    /** Takes it over as if learnt {@code age} ago, where this module has learnt nothing itself; after its list. */
+    public static void recall(Balancer balancer, Learnt learnt, long nowMicros, long age) {
+        Choice to = (Choice) balancer;
+        learnt.servers().forEach((id, known) -> {
+            Server s = to.servers.get(id);
+            if (s != null && !s.polled && known.polled() && s.entry.startedAt() == known.startedAt()) {
+                s.speed = known.speed();
+                s.sampledAt = nowMicros - age;
+                s.polled = true;
+            }
+        });
+        learnt.classes().forEach((name, known) -> {
+            Seen c = to.named.get(name);
+            if (c != null && c.answers == 0) {
+                c.latency = known.latency();
+                c.base = known.base();
+                c.answers = known.answers();
+                c.patience = known.patience();
+                c.votes = known.votes();
+            }
+        });
+        to.typical = learnt.typical();
+        to.limit = learnt.limit();
+        to.aimRatio = learnt.aimRatio();
+        to.warmRate = learnt.warmRate();
+        to.answerRate = learnt.answerRate();
+        to.retryTokens = learnt.retryTokens();
+    }
+}
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -120,6 +120,11 @@
         }
     }
 
+    /** Work on files, in turn with the operators' word. */
+    void files(Runnable work) {
+        files.execute(work);
+    }
+
     /** {@code done} hears of it once the file says so and the module has been told. */
     void change(String server, UnaryOperator<Outages> how, Consumer<Result> done) {
         queue.post(() -> {
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -8,6 +8,8 @@
 import calicochute.decision.Balancer;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.Settings;
+import calicochute.decision.Handover;
+import calicochute.decision.Learnt;
 import calicochute.discovery.Discovery;
 import calicochute.discovery.ServerList;
 import calicochute.exchange.Answer;
@@ -25,6 +27,7 @@
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
 import calicochute.settings.Succession;
+import calicochute.takeover.LearntFile;
 import calicochute.takeover.Lives;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -49,6 +52,7 @@
     private static final long GUARD_MARGIN = 5_000;
     /** How often clients' connections are looked at while they are sent away. */
     private static final long LOOK_AGAIN = 100_000;
+    private static final long NOTE_EVERY = 500_000;
     private static final long PROBE_TIMEOUT = 1_000_000;
     private final Configuration configuration;
     private volatile Succession succession;
@@ -61,6 +65,7 @@
     private final Frontend frontend;
     private final AdminServer admin;
     private final Lives lives;
+    private final LearntFile learnt;
     private final Figures figures = new Figures();
     private final Balancer balancer;
     private final Map<Long, Exchange> open = new HashMap<>();
@@ -94,6 +99,8 @@
             () -> succession);
         admin = configuration.admin() == null ? null : new AdminServer(this, counters);
         lives = new Lives(shared, configuration.name());
+        // Where processes follow each other on one socket.
+        learnt = inherited == null || shared == null ? null : new LearntFile(shared, configuration.name());
         settings.classes().forEach(c -> figures.listClass(c.name()));
     }
 
@@ -104,6 +111,10 @@
         // Before the module hears of a server: one that is out by hand must not be sent to, not even at first.
         membership.readOutages();
         queue.post(() -> restore(known));
+        if (learnt != null) {
+            recall();
+            queue.post(this::noteLearnt);
+        }
         if (admin != null) {
             Log.info("admin", "address=" + admin.start(configuration.admin()));
         }
@@ -146,6 +157,37 @@
         membership.restored(known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
     }
 
+    /** Takes over what the process before this one has learnt, if it is fresh. */
+    private void recall() {
+        try {
+            LearntFile.Note note = learnt.read(System.currentTimeMillis());
+            if (note != null) {
+                long age = (System.currentTimeMillis() - note.atMs()) * 1000;
+                Log.info("recalled", "age_ms=" + age / 1000 + " servers=" + note.learnt().servers().size());
+                queue.post(() -> Handover.recall(balancer, note.learnt(), queue.now(), age));
+            }
+        } catch (IOException e) {
+            Log.warn("learnt-not-read", String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** Notes what the module has learnt, for the process after this one; one that leaves leaves that to it. */
+    private void noteLearnt() {
+        if (presence.state() == Presence.State.ENDING) {
+            return;
+        }
+        Learnt now = Handover.of(balancer);
+        counters.mustHold(now.sane(), "what the module has learnt is no number");
+        membership.files(() -> {
+            try {
+                learnt.write(now, System.currentTimeMillis());
+            } catch (IOException e) {
+                Log.warn("learnt-not-written", String.valueOf(e.getMessage()));
+            }
+        });
+        queue.after(NOTE_EVERY, this::noteLearnt);
+    }
+
     // ---- What operators ask for
 
     @Override
--- /dev/null
+++ b/balancer/src/main/java/calicochute/takeover/LearntFile.java
@@ -0,0 +1,44 @@
+package calicochute.takeover;
+
+import calicochute.decision.Learnt;
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+
+/** What the module of the serving process has learnt, in the folder that the processes share. */
+public final class LearntFile {
+    private static final int VERSION = 1;
+    /** Older knowledge is worth no more than none. */
+    private static final long OLDEST_MS = 10_000;
+    private final Gson gson = new Gson();
+    private final Path file;
+
+    /** {@code learnt} as it was at that Unix time in milliseconds. */
+    public record Note(int version, long atMs, Learnt learnt) { }
+
+    public LearntFile(Path folder, String balancer) {
+        file = folder.resolve("calicochute-" + balancer.replaceAll("[^A-Za-z0-9._-]", "_") + ".learnt");
+    }
+
+    /** Writes it beside and renames it: whoever reads sees the old or the new one. */
+    public void write(Learnt learnt, long nowMs) throws IOException {
+        Path beside = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        Files.writeString(beside, gson.toJson(new Note(VERSION, nowMs, learnt)));
+        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** What was noted last; null if that is nothing, too old, torn or foreign. */
+    public Note read(long nowMs) throws IOException {
+        try {
+            Note note = gson.fromJson(Files.readString(file), Note.class);
+            return note == null || note.version != VERSION || nowMs - note.atMs > OLDEST_MS || nowMs < note.atMs
+                || note.learnt == null || !note.learnt.sane() ? null : note;
+        } catch (NoSuchFileException | JsonParseException e) {
+            return null;
+        }
+    }
+}
--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/balancer/src/test/java/calicochute/decision/MechanismTest.java
@@ -556,4 +556,38 @@
         f.on(new Balancer.AttemptEnded(nextRequest, 0, backend, true, Outcome.OK, 10 * SECOND, null));
         assertEquals(before, speed(f, backend));
     }
+
+    /** DANGER: a newcomer's first call to each server is one to a hung one, again and again, and all clients are its own. */
+    @Test
+    void whatOneModuleHasLearntHoldsForTheNext() {
+        Fixture old = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS));
+        old.list(fleet(3));
+        for (int i = 0; i < 60; i++) {
+            String backend = oneOn(old);
+            old.outcome(0, Outcome.OK, backend.equals("b1") ? 900_000 : 50_000);
+        }
+        Learnt learnt = Handover.of(old.choice);
+        assertTrue(learnt.sane());
+        assertTrue(learnt.servers().get("b1").speed() < learnt.servers().get("b0").speed() * 0.8);
+        Fixture next = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS));
+        next.now = old.now;
+        Backend[] fleet = fleet(3);
+        fleet[2] = Fixture.with(fleet[2], Balancer.BackendState.READY, next.now);
+        next.list(fleet);
+        Handover.recall(next.choice, learnt, next.now, 100_000);
+        assertEquals(learnt.servers().get("b1").speed(), speed(next, "b1"));
+        assertTrue(!next.choice.servers.get("b2").polled, "started since: not the server that was known");
+        int slow = 0;
+        for (int i = 0; i < 50; i++) {
+            slow += oneOn(next).equals("b1") ? 1 : 0;
+            next.outcome(0, Outcome.OK, 50_000);
+        }
+        assertTrue(slow < 10, "sent " + slow + " of 50 to the slow one");
+    }
+
+    private String oneOn(Fixture f) {
+        f.arrive(nextRequest++, 4 * SECOND);
+        f.now += 50_000;
+        return f.lastBackend();
+    }
 }
--- a/balancer/src/test/java/calicochute/process/UpgradeTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeTest.java
@@ -10,6 +10,7 @@
 
 import java.net.Socket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.junit.After;
 import org.junit.Before;
@@ -115,6 +116,25 @@
         await("the second one has heard", () -> unavailable(two) == 0);
     }
 
+    /** The newcomer knows what the old one has learnt; what no module can have learnt is not taken. */
+    @Test
+    public void whatWasLearntGoesOver() throws Exception {
+        platform.start(freePort(), discovery, server);
+        assertEquals(200, platform.send(view()).status());
+        await("it has noted an answer", () -> Files.readString(platform.shared().resolve("calicochute-n0.learnt"))
+            .contains("\"answers\":1"));
+        int next = platform.start(freePort(), discovery, server);
+        assertTrue(platform.log(next), platform.log(next).contains("recalled"));
+        platform.signal(0, "KILL");
+        platform.signal(next, "KILL");
+        await("both are gone", () -> platform.ended(0) && platform.ended(next));
+        Path file = platform.shared().resolve("calicochute-n0.learnt");
+        Files.writeString(file, Files.readString(file).replaceFirst("\"typical\":[^,]*", "\"typical\":-1"));
+        int third = platform.start(freePort(), discovery, server);
+        assertFalse(platform.log(third), platform.log(third).contains("recalled"));
+        assertEquals(200, platform.send(view()).status());
+    }
+
     private static int unavailable(int admin) throws Exception {
         String text = new String(Program.admin(admin, "GET stats", "").body());
         return Integer.parseInt(text.replaceAll("(?s).*members_unavailable:(\\d+).*", "$1"));
