A client that stops in its body is not taken for one that is not read

Cause: PiecesTest.aBodyThatStandsStillIsEnded failed one time in nine: the client was never ended. Of two threads the grant of more window and the note that it was used up could cross; the note then stood for ever, since nothing was left to be granted, and a session that is not read has no time-out. Ruled out: the dispatch's own watch (nothing is held there, it is the client's turn).

Change: whether the window is used up is computed from what was read and granted, and asked under the lock that keeps the note.

Checked: 185 tests of the balancer, the three pieces tests five times in a row.

--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.IllegalBlockingModeException;
 import java.nio.channels.SocketChannel;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -84,8 +85,12 @@
             bodyBytes += bytes;
         }
 
-        /** This side does not read, since what came before has nowhere to go; any thread may call. */
-        synchronized void paused(boolean now) {
+        /**
+         * Whether this side does not read, since what came before has nowhere to go; any thread may call. Asked under the
+         * lock: of two threads the later one would else have the word with the older answer.
+         */
+        synchronized void paused(BooleanSupplier usedUp) {
+            boolean now = usedUp.getAsBoolean();
             if (now && pausedSince == 0) {
                 pausedSince = System.nanoTime();
             } else if (!now && pausedSince != 0) {
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -36,6 +37,7 @@
     private final ClientConnection.State connection;
     private final Frontend frontend;
     private final Pipe body = new Pipe();
+    private final AtomicLong granted = new AtomicLong();
     private long declared = -1;
     private HttpRequest request;
     private ResponseChannel channel;
@@ -73,15 +75,20 @@
 
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        connection.paused(true);
         body.creditTo(bytes -> {
-            connection.paused(false);
+            granted.addAndGet(bytes);
+            connection.paused(this::windowUsedUp);
             try {
                 capacity.update(bytes);
             } catch (IOException e) {
                 Log.info("client-connection", String.valueOf(e.getMessage()));
             }
         });
+        connection.paused(this::windowUsedUp);
+    }
+
+    private boolean windowUsedUp() {
+        return body.put() - granted.get() >= Bounds.WINDOW;
     }
 
     @Override
