Read again: one place for shared files, answer lengths, deadline alarms and thread names

Need: the change read as a whole. Three classes made the same file name in $TMPDIR and two wrote beside and renamed; the rule for how long an answer may be stood twice, once with the wrong number in its words; an alarm was taken back in three places; two classes made daemon threads by hand where HttpCore's DefaultThreadFactory serves Connector already; a session in pieces whose answer also went in pieces was watched by two alarms; five methods had no caller.

Change: takeover.SharedFolder, Call.most, Node.dropDeadline, DefaultThreadFactory; one watch; the five methods are gone. What the program does is the same but for the second watch and the words of one refusal.

Checked: the balancer's 185 tests, none changed but for an unused import. Not mended: AdminServer listens with a twin of BoundListening's few lines and without its guard against an acceptor that ends when descriptors run out.

--- a/balancer/src/main/java/calicochute/admin/AdminServer.java
+++ b/balancer/src/main/java/calicochute/admin/AdminServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
@@ -34,16 +35,11 @@
         this.counters = counters;
         Callback<Exception> onFault = e -> Log.info("admin-connection", String.valueOf(e.getMessage()));
         reactor = new DefaultListeningIOReactor((session, attachment) -> AdminConnection.on(session, this, onFault),
-            REACTOR, task -> daemon(task, "admin-io"), task -> daemon(task, "admin-accept"), null, onFault, null,
+            REACTOR, new DefaultThreadFactory("admin-io", true), new DefaultThreadFactory("admin-accept", true), null,
+            onFault, null,
             ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /** Starts to listen and returns the address in use. */
     public InetSocketAddress start(InetSocketAddress address) throws IOException, InterruptedException {
         reactor.start();
--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -409,7 +409,10 @@
                 answer = from.pipe();
                 wrote = true;
                 course.begun(head, from);
-                watch();
+                if (!(body instanceof Body.Streamed)) {
+                    // Otherwise the watch of the request goes on as that of the answer.
+                    watch();
+                }
             }
         }
 
--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -6,6 +6,7 @@
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
 import calicochute.takeover.InheritedSocket;
+import calicochute.takeover.SharedFolder;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
@@ -16,32 +17,34 @@
 final class ServeCommand implements CommandLine.Command {
     @ParametersDelegate
     private final ConfigurationOption configuration = new ConfigurationOption();
+    /** The file's text as it was taken last. */
+    private Configuration running;
 
     @Override
     public void run() throws SettingsException, IOException, InterruptedException {
         Configuration told = configuration.read();
         Counters counters = new Counters();
-        Node node = new Node(told, counters, InheritedSocket.get(), shared());
+        Node node = new Node(told, counters, InheritedSocket.get(), shared(told.name()));
         // Before the start: without a handler SIGHUP ends a Java program, and /ready may say 200 as soon as it listens.
-        Configuration[] running = {told};
-        Hangup.handle(() -> reload(node, running));
+        running = told;
+        Hangup.handle(() -> reload(node));
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
         // Only now: a start that fails must end with its own status, not with that of a planned stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
     }
 
     /** The folder that outlives a process and is the balancer's own; none unless the platform names one. */
-    private static Path shared() {
+    private static SharedFolder shared(String balancer) {
         String folder = System.getenv("TMPDIR");
-        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+        return folder == null || folder.isEmpty() ? null : new SharedFolder(Path.of(folder), balancer);
     }
 
     /** On SIGHUP: the file is read anew, and taken whole or not at all. One at a time. */
-    private synchronized void reload(Node node, Configuration[] running) {
+    private synchronized void reload(Node node) {
         try {
-            Configuration next = configuration.readNext(running[0]);
+            Configuration next = configuration.readNext(running);
             node.reload(next);
-            running[0] = next;
+            running = next;
         } catch (SettingsException e) {
             node.reloadFailed(e.getMessage());
         }
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -121,14 +121,19 @@
     @Override
     public void consumeResponse(HttpResponse head, EntityDetails entity, HttpContext context) throws HttpException {
         length = entity == null ? 0 : entity.getContentLength();
-        if (length > (streams(head) ? limits.body : Math.min(limits.body, limits.window == 0 ? limits.body : Bounds.BODY))) {
-            throw new ProtocolException("answer over " + limits.body + " bytes");
+        if (length > most(head)) {
+            throw new ProtocolException("answer over " + most(head) + " bytes");
         }
         response = head;
         reusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, head, context);
         whole = entity == null;
     }
 
+    /** How long the answer's body may be: what is kept whole because it is no 200 is short. */
+    private long most(HttpResponse head) {
+        return limits.window == 0 || streams(head) ? limits.body : Bounds.BODY;
+    }
+
     private boolean streams(HttpResponse head) {
         return limits.window > 0 && head.getCode() == HttpStatus.SC_OK;
     }
@@ -147,7 +152,6 @@
             channel.update(bytes);
         } catch (IOException e) {
             // The connection has ended: nothing more is read on it.
-            return;
         }
     }
 
@@ -155,8 +159,8 @@
     public void consume(ByteBuffer data) throws IOException {
         long total = answer.put() + data.remaining();
         // Guards against an answer that would not end: memory is small and shared by all sessions.
-        if (total > limits.body || !streams(response) && limits.window > 0 && total > Bounds.BODY) {
-            throw new IOException("answer over " + limits.body + " bytes");
+        if (total > most(response)) {
+            throw new IOException("answer over " + most(response) + " bytes");
         }
         answer.put(data);
         if (!begun && streams(response)
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -21,7 +21,7 @@
     public final boolean retry;
     /** How long the client waits, in microseconds. */
     public final long patience;
-    /** When the last byte came, and when the client will have given up: microseconds of the decision queue. */
+    /** When the last byte came, or the session's begin until then: microseconds of the decision queue. */
     private long arrivedAt;
     private boolean whole;
     private boolean passing;
--- a/balancer/src/main/java/calicochute/exchange/Pipe.java
+++ b/balancer/src/main/java/calicochute/exchange/Pipe.java
@@ -182,10 +182,6 @@
         return ended && held == 0;
     }
 
-    public synchronized boolean ended() {
-        return ended;
-    }
-
     /** All that there was has been taken, and it was not the whole body. */
     public synchronized boolean cut() {
         return broken && held == 0;
--- a/balancer/src/main/java/calicochute/metrics/Figures.java
+++ b/balancer/src/main/java/calicochute/metrics/Figures.java
@@ -55,14 +55,6 @@
         unavailable = avoided;
     }
 
-    public long ended(End end) {
-        return classes.values().stream().mapToLong(t -> t.ends[end.ordinal()].sum()).sum();
-    }
-
-    public int pending() {
-        return pending.get();
-    }
-
     /** One line a figure: name, colon, value, bar, {@code c} for a count and {@code g} for a level. */
     public String text() {
         StringBuilder text = new StringBuilder();
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 
 /**
  * What the module is told of backend servers: discovery's word with the operators' on top. The file that holds the latter is
@@ -36,7 +37,7 @@
     private final OutageFile file;
     private final Overlay overlay = new Overlay();
     private final ScheduledExecutorService files =
-        Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "outage-file"));
+        Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("outage-file", true));
     private Outages seen = Outages.NONE;
     /** The module takes itself to be subscribed: it may be told of changes. Otherwise changes would make it think so. */
     private boolean subscribed;
@@ -51,12 +52,6 @@
         this.module = module;
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /** True once a list with a server on it has been held. */
     boolean any() {
         return any;
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -29,10 +29,10 @@
 import calicochute.settings.Succession;
 import calicochute.takeover.LearntFile;
 import calicochute.takeover.Lives;
+import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -83,7 +83,7 @@
      * @param inherited the socket that listens for clients already, or null
      * @param shared the folder that all processes of this balancer share, or null
      */
-    public Node(Configuration configuration, Counters counters, ServerSocketChannel inherited, Path shared)
+    public Node(Configuration configuration, Counters counters, ServerSocketChannel inherited, SharedFolder shared)
             throws IOException {
         this.configuration = configuration;
         this.counters = counters;
@@ -93,14 +93,14 @@
         balancer = Balancer.create(settings);
         backend = new BackendServers(connector, queue, counters, settings.reportFields(),
             settings.limits().connectTimeout(), configuration.connectionIdle(), configuration.bounds(), this);
-        membership = new Membership(backend, figures, queue, new OutageFile(shared, configuration.name()), this::tell);
+        membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership);
         frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence,
             () -> succession);
         admin = configuration.admin() == null ? null : new AdminServer(this, counters);
-        lives = new Lives(shared, configuration.name());
+        lives = new Lives(shared);
         // Where processes follow each other on one socket.
-        learnt = inherited == null || shared == null ? null : new LearntFile(shared, configuration.name());
+        learnt = inherited == null || shared == null ? null : new LearntFile(shared);
         settings.classes().forEach(c -> figures.listClass(c.name()));
     }
 
@@ -281,6 +281,13 @@
             Math.max(ANSWER_MARGIN, exchange.deadline() - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
     }
 
+    private void dropDeadline(Exchange exchange) {
+        DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
+        if (alarm != null) {
+            alarm.cancel();
+        }
+    }
+
     @Override
     public void arrived(Exchange exchange) {
         queue.post(() -> {
@@ -341,10 +348,7 @@
                 : answer instanceof Answer.Denied ? Counter.SESSIONS_DENIED : Counter.SESSIONS_FAILED);
             ended(exchange, answer instanceof Answer.Served ? Figures.End.COMPLETED
                 : answer instanceof Answer.Denied ? Figures.End.REJECTED : Figures.End.FAILED);
-            DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
-            if (alarm != null) {
-                alarm.cancel();
-            }
+            dropDeadline(exchange);
             retire(exchange);
         }
     }
@@ -357,10 +361,7 @@
     private void retire(Exchange exchange) {
         if (exchange.closed() && !exchange.anyOut() && !exchange.passing() && open.remove(exchange.id) != null) {
             clientIds.remove(exchange.clientId);
-            DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
-            if (alarm != null) {
-                alarm.cancel();
-            }
+            dropDeadline(exchange);
             unanswered = open.size();
         }
     }
@@ -400,10 +401,7 @@
             return;
         }
         counters.count(Counter.ANSWERS_IN_PIECES);
-        DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
-        if (alarm != null) {
-            alarm.cancel();
-        }
+        dropDeadline(exchange);
         tell(new Balancer.StreamStarted(exchange.id, dispatch.number, dispatch.server, elapsed(dispatch)));
     }
 
--- a/balancer/src/main/java/calicochute/outage/OutageFile.java
+++ b/balancer/src/main/java/calicochute/outage/OutageFile.java
@@ -1,12 +1,12 @@
 package calicochute.outage;
 
+import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.function.UnaryOperator;
@@ -21,11 +21,10 @@
     private Outages held = Outages.NONE;
     private Object seenKey;
 
-    /** @param folder the folder that the processes share, or null */
-    public OutageFile(Path folder, String balancer) {
-        String name = "calicochute-" + balancer.replaceAll("[^A-Za-z0-9._-]", "_");
-        file = folder == null ? null : folder.resolve(name + ".out");
-        lock = folder == null ? null : folder.resolve(name + ".out.lock");
+    /** @param shared the folder that the processes share, or null */
+    public OutageFile(SharedFolder shared) {
+        file = shared == null ? null : shared.file(".out");
+        lock = shared == null ? null : shared.file(".out.lock");
     }
 
     /** What the file says now; what it said last where it is missing, torn or foreign. */
@@ -58,9 +57,7 @@
             assert ours.isValid();
             Outages next = how.apply(read());
             if (!next.equals(held) || seenKey == null) {
-                Path beside = file.resolveSibling(file.getFileName() + ".new");
-                Files.writeString(beside, next.text());
-                Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                SharedFolder.replace(file, next.text());
                 held = next;
                 seenKey = null;
             }
--- a/balancer/src/main/java/calicochute/outage/Overlay.java
+++ b/balancer/src/main/java/calicochute/outage/Overlay.java
@@ -60,10 +60,6 @@
         return listed.containsKey(id) || former.contains(id) || outages.has(id);
     }
 
-    public boolean out(String id) {
-        return outages.has(id);
-    }
-
     public int members() {
         return listed.size();
     }
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -42,12 +42,13 @@
                 throw new SettingsException("settings name no classes");
             }
             JsonObject limits = root.has("limits") ? object(root, "limits") : new JsonObject();
-            String admin = root.has("admin_addr") ? text(root, "admin_addr") : System.getenv(ADMIN_VARIABLE);
+            String told = root.has("admin_addr") ? text(root, "admin_addr") : System.getenv(ADMIN_VARIABLE);
+            InetSocketAddress admin = told == null || told.isEmpty() ? null : address("admin_addr", told);
             return new Configuration(text(root, "name"), address("listen", text(root, "listen")),
-                admin == null || admin.isEmpty() ? null : address("admin_addr", admin),
+                admin,
                 address("discovery", text(root, "discovery")),
                 Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
-                    admin != null && !admin.isEmpty(),
+                    admin != null,
                     limits.has("memory_mb") ? limits.get("memory_mb").getAsInt() : DEFAULT_MEMORY_MB),
                 Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
                 root.has("known") ? root.get("known").toString() : "", settings, document);
--- a/balancer/src/main/java/calicochute/takeover/LearntFile.java
+++ b/balancer/src/main/java/calicochute/takeover/LearntFile.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 
 /** What the module of the serving process has learnt, in the folder that the processes share. */
 public final class LearntFile {
@@ -20,15 +19,12 @@
     /** {@code learnt} as it was at that Unix time in milliseconds. */
     public record Note(int version, long atMs, Learnt learnt) { }
 
-    public LearntFile(Path folder, String balancer) {
-        file = folder.resolve("calicochute-" + balancer.replaceAll("[^A-Za-z0-9._-]", "_") + ".learnt");
+    public LearntFile(SharedFolder shared) {
+        file = shared.file(".learnt");
     }
 
-    /** Writes it beside and renames it: whoever reads sees the old or the new one. */
     public void write(Learnt learnt, long nowMs) throws IOException {
-        Path beside = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
-        Files.writeString(beside, gson.toJson(new Note(VERSION, nowMs, learnt)));
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        SharedFolder.replace(file, gson.toJson(new Note(VERSION, nowMs, learnt)));
     }
 
     /** What was noted last; null if that is nothing, too old, torn or foreign. */
--- a/balancer/src/main/java/calicochute/takeover/Lives.java
+++ b/balancer/src/main/java/calicochute/takeover/Lives.java
@@ -14,18 +14,17 @@
  * share; the lock falls free with the process, however that ends, and the file is then removed by whoever finds it.
  */
 public final class Lives {
-    private final Path folder;
-    private final String prefix;
+    private static final String LIFE = ".life.";
     private final Path mine;
-    /** Held until the process ends. */
+    private final String pattern;
+    /** Held until the process ends; null if this process can't show the others that it lives. */
     private final FileLock held;
 
-    /** @param folder the folder that the processes share, or null: then there is never another one */
-    public Lives(Path folder, String balancer) {
-        this.folder = folder;
-        prefix = "calicochute-" + balancer.replaceAll("[^A-Za-z0-9._-]", "_") + ".life.";
-        mine = folder == null ? null : folder.resolve(prefix + ProcessHandle.current().pid());
-        held = folder == null ? null : hold();
+    /** @param shared the folder that the processes share, or null: then there is never another one */
+    public Lives(SharedFolder shared) {
+        mine = shared == null ? null : shared.file(LIFE + ProcessHandle.current().pid());
+        pattern = shared == null ? null : shared.file(LIFE).getFileName() + "*";
+        held = shared == null ? null : hold();
     }
 
     private FileLock hold() {
@@ -40,11 +39,11 @@
 
     /** True while another process of this balancer lives. */
     public boolean other() {
-        if (folder == null) {
+        if (mine == null) {
             return false;
         }
         boolean found = false;
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, prefix + "*")) {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(mine.getParent(), pattern)) {
             for (Path file : files) {
                 // Never this process's own: closing a second descriptor of it would drop the lock.
                 found |= !file.equals(mine) && locked(file);
@@ -55,11 +54,6 @@
         return found;
     }
 
-    /** True if this process shows the others that it lives. */
-    public boolean shown() {
-        return held != null;
-    }
-
     private static boolean locked(Path file) throws IOException {
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE);
              FileLock free = channel.tryLock()) {
--- a/balancer/src/test/java/calicochute/process/AdminTest.java
+++ b/balancer/src/test/java/calicochute/process/AdminTest.java
@@ -3,7 +3,6 @@
 import static calicochute.process.Program.await;
 import static calicochute.process.Program.host;
 import static calicochute.process.Program.list;
-import static calicochute.process.Program.session;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
