Both addresses accept through one listener that outlives a lack of descriptors

Seen: with 'ulimit -n 100' and connections at both addresses the second address is refused for good ('Connect Connection refused', BadClientTest#acceptingOutlivesALackOfDescriptors extended by the second address, on the build before). HttpCore's acceptor ends at the first connection there is no descriptor for; the frontend had a guard that listened anew with a second reactor (BoundListening.listenAgain), AdminServer had none. Checked: the inherited socket's way of accepting (InheritedListening: own selector, hand-over to one I/O thread) needs no such guard, since a failed accept is tried again 50 ms later. Ruled out: giving AdminServer the guard too (a second copy of 60 lines). Lines at fault: AdminServer.start and its reactor. Change: listening.Listening, from InheritedListening, serves either address and either kind of socket. The counter acceptor_restarts is acceptor_waits now. Tests: BadClientTest, AdminTest, ServeTest, UpgradeTest pass.

--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -2,6 +2,7 @@
 
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Sessions;
+import calicochute.listening.Listening;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
@@ -17,8 +18,6 @@
 import java.util.function.Supplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.util.TimeValue;
 
 /** The clients' side: an HTTP server whose requests become exchanges. One I/O thread carries all connections. */
 public final class Frontend implements AutoCloseable {
@@ -27,15 +26,16 @@
     /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
     static final long SILENT_MS = 250;
     private static final long IDLE_MS = 2000;
-    private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-        .setBacklogSize(1024).setSoReuseAddress(true).setSelectInterval(TimeValue.ofMilliseconds(100)).build();
+    private static final int BACKLOG = 1024;
     private final SessionReader reader;
     private final DecisionQueue clock;
     private final Sessions sessions;
     private final Counters counters;
     private final BooleanSupplier ready;
     private final Callback<Exception> onFault = e -> Log.info("client-connection", String.valueOf(e.getMessage()));
-    private final Listening listening;
+    private final InetSocketAddress address;
+    private final ServerSocketChannel inherited;
+    private volatile Listening listening;
     private final int room;
     private final int window;
     /** Clients' connections, the oldest first. */
@@ -45,7 +45,7 @@
 
     /** @param inherited the socket that listens for clients already, or null to listen at the configuration's address */
     public Frontend(Configuration configuration, ServerSocketChannel inherited, DecisionQueue clock, Sessions sessions,
-                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence, Supplier<Succession> settings) throws IOException {
+                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence, Supplier<Succession> settings) {
         reader = new SessionReader(settings);
         this.clock = clock;
         this.sessions = sessions;
@@ -54,13 +54,15 @@
         this.presence = presence;
         room = configuration.bounds().clientConnections();
         window = configuration.bounds().window();
-        IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
-        listening = inherited == null ? new BoundListening(configuration.listen(), handlers, REACTOR, onFault, counters)
-            : new InheritedListening(inherited, handlers, REACTOR, onFault);
+        address = configuration.listen();
+        this.inherited = inherited;
     }
 
     /** Starts to listen and returns the address in use. */
-    public InetSocketAddress start() throws IOException, InterruptedException {
+    public InetSocketAddress start() throws IOException {
+        IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
+        listening = inherited == null ? Listening.at(address, BACKLOG, "frontend", handlers, onFault, counters)
+            : Listening.on(inherited, "frontend", handlers, onFault, counters);
         return listening.start();
     }
 
--- /dev/null
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -0,0 +1,131 @@
+package calicochute.listening;
+
+import calicochute.metrics.Counter;
+import calicochute.metrics.Counters;
+import calicochute.metrics.Log;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import org.apache.hc.core5.concurrent.DefaultThreadFactory;
+import org.apache.hc.core5.function.Callback;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.ChannelBridge;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandlerFactory;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.TimeValue;
+
+/**
+ * One address that connections are taken in at, and one I/O thread that carries them. The socket is this process's own, or
+ * one that was listening before it began and will be after it: that one is never closed or shut down here, and since other
+ * processes accept at it too, a connection may be gone before this one gets to it.
+ *
+ * <p>Not HttpCore's own acceptor: that one ends at the first connection there is no descriptor for, and with it the address.
+ */
+public final class Listening {
+    private static final long PAUSE_MS = 50;
+    private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+        .setSelectInterval(TimeValue.ofMilliseconds(100)).build();
+    private final ServerSocketChannel socket;
+    private final boolean own;
+    private final String name;
+    private final Counters counters;
+    private final DefaultConnectingIOReactor reactor;
+    private final Selector selector;
+    private volatile boolean stopped;
+
+    private Listening(ServerSocketChannel socket, boolean own, String name, IOEventHandlerFactory handlers,
+                      Callback<Exception> onFault, Counters counters) throws IOException {
+        this.socket = socket;
+        this.own = own;
+        this.name = name;
+        this.counters = counters;
+        reactor = new DefaultConnectingIOReactor(handlers, REACTOR, new DefaultThreadFactory(name + "-io", true), null,
+            onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
+        selector = Selector.open();
+    }
+
+    /**
+     * Binds an address; so many connections may wait there to be taken in.
+     *
+     * @param name of the threads
+     */
+    public static Listening at(InetSocketAddress address, int backlog, String name, IOEventHandlerFactory handlers,
+                               Callback<Exception> onFault, Counters counters) throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
+        try {
+            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            socket.bind(address, backlog);
+            return new Listening(socket, true, name, handlers, onFault, counters);
+        } catch (IOException e) {
+            socket.close();
+            throw new IOException("cannot listen at " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Takes over a socket that listens already. */
+    public static Listening on(ServerSocketChannel inherited, String name, IOEventHandlerFactory handlers,
+                               Callback<Exception> onFault, Counters counters) throws IOException {
+        return new Listening(inherited, false, name, handlers, onFault, counters);
+    }
+
+    /** Accepts from now on; returns the address in use. */
+    public InetSocketAddress start() throws IOException {
+        reactor.start();
+        socket.configureBlocking(false);
+        socket.register(selector, SelectionKey.OP_ACCEPT);
+        new Thread(this::accept, name + "-accept").start();
+        return (InetSocketAddress) socket.getLocalAddress();
+    }
+
+    private void accept() {
+        while (!stopped) {
+            try {
+                selector.select();
+                selector.selectedKeys().clear();
+                for (SocketChannel next = stopped ? null : socket.accept(); next != null;
+                     next = stopped ? null : socket.accept()) {
+                    ChannelBridge.adopt(reactor, next);
+                }
+            } catch (IOException | IllegalStateException e) {
+                // Guards against a moment without descriptors: what waits in the socket's queue waits a little longer.
+                counters.count(Counter.ACCEPTOR_WAITS);
+                Log.info("acceptor-waits", name + ": " + e.getMessage());
+                pause();
+            }
+        }
+        try {
+            // The selector first: a socket that is still registered would go on listening.
+            selector.close();
+            if (own) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            Log.info("acceptor-ended", name + ": " + e.getMessage());
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            stopped = true;
+        }
+    }
+
+    /** Accepts no more; the connections that there are go on. */
+    public void stopAccepting() {
+        stopped = true;
+        selector.wakeup();
+    }
+
+    /** Ends all connections. */
+    public void close() {
+        reactor.close(CloseMode.GRACEFUL);
+    }
+}
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -6,6 +6,7 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -118,21 +119,25 @@
         }
     }
 
-    /** With fewer descriptors than promised accepting breaks off; it has to come back with the descriptors. */
+    /** With fewer descriptors than promised accepting breaks off; at both addresses it comes back with the descriptors. */
     @Test
     public void acceptingOutlivesALackOfDescriptors() throws Exception {
         List<Socket> silent = new ArrayList<>();
-        Program scarce = new Program("ulimit -n 100; ", 1024, discovery, server);
+        Program scarce = Program.scarce(100, discovery, server);
         try {
             await("out of descriptors", () -> {
                 silent.add(scarce.connect());
                 return scarce.log().contains("Too many open files");
             });
+            for (int i = 0; i < 20; i++) {
+                silent.add(new Socket(InetAddress.getLoopbackAddress(), scarce.admin));
+            }
             for (Socket socket : silent) {
                 socket.close();
             }
+            await("asked", () -> scarce.admin("GET health", "").status() == 200);
             await("served", () -> scarce.send(session("1" + ID.substring(1), "view")).status() == 200);
-            assertTrue(scarce.counter("acceptor_restarts") > 0);
+            assertTrue(scarce.counter("acceptor_waits") > 0);
         } finally {
             scarce.stop();
         }
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -59,6 +59,11 @@
         return new Program("", 1024, freePort(), discovery, server);
     }
 
+    /** With a second address, and fewer descriptors than its configuration promises. */
+    static Program scarce(int descriptors, Peer discovery, Peer... servers) throws Exception {
+        return new Program("ulimit -n " + descriptors + "; ", 1024, freePort(), discovery, addresses(servers));
+    }
+
     /** With a second address and no larger heap. */
     static Program withHeap(String heap, Peer discovery, Peer... servers) throws Exception {
         return new Program("export JAVA_TOOL_OPTIONS=-Xmx" + heap + "; ", 1024, freePort(), discovery, addresses(servers));
