A dispatch's time-out counts from its sending, not from the end of its preparation

Seen: on a busy machine ServeTest#silenceTimesOutBeforeTheDeadline found 504 but dispatches_timed_out 0: the node's guard, 5 ms before the deadline, had answered before the dispatch's own time-out, 15 ms before it. Checked: both alarms are on one thread in order of time, so the time-out must have been set late. Errand.await set it relative to its own call; between the reading of the clock (Node.send) and that lie the request's making and, in a young process, class loading. Ruled out: a late timer thread (it would delay both). Line at fault: BackendServers.Errand.await, queue.after(patience, ...). Change: await(since): due at sentAt + timeout.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -146,7 +146,7 @@
             }
         });
         out.put(dispatch, errand);
-        errand.start(timeout);
+        errand.start(dispatch.sentAt, timeout);
     }
 
     /** Stops waiting: closes the connection that the dispatch is out on. */
@@ -166,7 +166,7 @@
         request.addHeader("Host", target.address.getHostString() + ":" + target.address.getPort());
         new Errand(target, request, Body.EMPTY, (outcome, reply) -> listener.probeEnded(server, outcome,
             queue.now() - from, outcome != Outcome.OK ? null
-                : LoadReport.parse(new String(reply.body(), StandardCharsets.US_ASCII), reportFields))).start(timeout);
+                : LoadReport.parse(new String(reply.body(), StandardCharsets.US_ASCII), reportFields))).start(from, timeout);
     }
 
     /** Closes the idle connections to a server. */
@@ -358,19 +358,20 @@
             this.course = course;
         }
 
-        void start(long micros) {
+        /** Its time runs from {@code since}: preparing it must not push the time-out past the session's own end. */
+        void start(long since, long micros) {
             patience = micros;
             if (body instanceof Body.Streamed) {
                 // Its time runs from its last byte: until then only standing still ends it.
                 watch();
             } else {
-                await();
+                await(since);
             }
             begin();
         }
 
-        private void await() {
-            timeout = queue.after(patience, () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
+        private void await(long since) {
+            timeout = queue.after(since + patience - queue.now(), () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
         }
 
         /** Ends it if a body in pieces has not moved, though this side has something to move or waits for it. */
@@ -396,7 +397,7 @@
             if (!ended && !wrote) {
                 wrote = true;
                 if (body instanceof Body.Streamed && answer == null) {
-                    await();
+                    await(queue.now());
                 }
             }
         }
