--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -51,8 +51,8 @@
     /** The least worthy request is refused this far below the limit. */
     private static final double WORTH_SPREAD = 0.3;
     private static final int LIMIT_MIN = 8;
-    /** Arrivals by which the common patience must lead before another one is taken for a later try. */
-    private static final int VOTES = 8;
+    /** Arrivals by which the common patience must lead for another to be a later try, and leads at most. */
+    private static final int VOTES = 8, MOST_VOTES = 1000;
     private static final long REVIEW = 250_000;
     private static final int TIMER_HELD = 1, TIMER_SUBSCRIBE = 2;
 
@@ -113,7 +113,7 @@
     private void timer(Timer e) {
         if (e.purpose() == TIMER_SUBSCRIBE && !subscribed) { actions.subscribe(true); }
         Request r = requests.get(e.subject());
-        if (e.purpose() == TIMER_HELD && r != null && !r.ended && r.out == 0) { dispatch(r); }
+        if (e.purpose() == TIMER_HELD && r != null && !r.ended && !r.out()) { dispatch(r); }
     }
 
     private void streamStarted(StreamStarted e) {
@@ -153,9 +153,9 @@
         Seen cls = seen[e.classIndex()];
         boolean usual = Math.abs(e.timeLeft() - cls.patience) < c.deadline() / 50;
         if (!usual && cls.votes == 0) { cls.patience = e.timeLeft(); }
-        cls.votes = Math.max(0, cls.votes + (usual ? 1 : -1));
+        cls.votes = Math.max(0, Math.min(cls.votes, MOST_VOTES) + (usual ? 1 : -1));
         boolean later = !usual && (settings.marksRetries() ? e.retry() : cls.votes > VOTES);
-        return later ? c.deadline() - e.timeLeft() : 0;
+        return later ? Math.max(0, c.deadline() - e.timeLeft()) : 0;
     }
 
     /** Sends the request somewhere, or holds it, or ends it. */
@@ -188,7 +188,7 @@
         if (e.finished() || r.ended) {
             if (!r.ended && e.outcome() == Outcome.OK) { aim(r, 0); }
             finish(r, a);
-        } else if (r.out == 0) { retry(r, e.outcome()); }
+        } else if (!r.out()) { retry(r, e.outcome()); }
     }
 
     private void retry(Request r, Outcome outcome) {
@@ -204,12 +204,10 @@
 
     private void finish(Request r, Attempt winner) {
         if (r == null) { return; }
-        for (int i = 0; i < r.sent && !r.ended; i++) {
-            if (r.attempts[i].out && r.attempts[i] != winner) { withdraw(r.attempts[i]); }
-        }
+        if (!r.ended && winner == null && r.out()) { withdraw(r.attempts[r.sent - 1]); }
         open -= r.ended ? 0 : 1;
         r.ended = true;
-        if (r.out == 0) { requests.remove(r.id); }
+        if (!r.out()) { requests.remove(r.id); }
     }
 
     private void giveUp(Request r) {
@@ -247,7 +245,7 @@
 
     /** DANGER: a copy of a late attempt is mostly one of slow work, when nothing bears more. */
     private boolean noCopyOut(Request r) {
-        return r.out == 0;
+        return !r.out();
     }
 
     private boolean effectAllows(Request r, Server s) {
@@ -271,7 +269,9 @@
     /** DANGER: everyone's first call at once topples a cold backend; each spends only its own allowance. */
     private boolean coldAllows(Server s) {
         if (!cold(s)) { return true; }
-        double rate = warmRate * COLD_CAUTION * settings.rules().fallMultiple() * warmth(s);
+        // DANGER: where none has ever been warm nothing tells what they bear, and nobody would be served.
+        double rate = warmRate == 0 ? 1e6 / Math.max(1, settings.rules().fall())
+            : warmRate * COLD_CAUTION * settings.rules().fallMultiple() * warmth(s);
         double most = Math.max(1, rate * settings.rules().fall() / 2e6);
         s.allowance = Math.min(most, s.allowance + rate * (now - s.allowanceAt) / 1e6);
         s.allowanceAt = now;
@@ -361,7 +361,8 @@
             }
             walk = use.clone();
             for (Server s : walk) { s.score = effective(s); }
-            Arrays.sort(walk, Comparator.comparingDouble((Server s) -> -s.score).thenComparing(s -> s.id));
+            // Ties stay in this instance's own order, lest all instances take one server first.
+            Arrays.sort(walk, Comparator.comparingDouble(s -> -s.score));
             walkAt = 0;
         }
         return anyLegal(r, walk, false);
@@ -371,7 +372,8 @@
 
     /** A backend's speed as it counts now: aged to the typical, bounded by attempts out, shared with them. */
     double effective(Server s) {
-        double keep = Math.exp((s.sampledAt - now) / FORGET);
+        // An estimate from the future, by an older process's clock, is one of now.
+        double keep = Math.exp(Math.min(0, s.sampledAt - now) / FORGET);
         double speed = s.speed * keep + typical * (1 - keep);
         if (s.oldest != null) {
             // DANGER: a hung backend keeps its score until time-outs; the age of what is out speaks sooner.
@@ -403,7 +405,8 @@
     private void sample(Server s, int cls, long elapsed) {
         Seen c = seen[cls];
         double took = Math.max(elapsed, settings.tick());
-        double weight = Math.max(1.0 / ++c.answers, 1.0 / 32);
+        c.answers = Math.min(c.answers, 31) + 1;
+        double weight = 1.0 / c.answers;
         c.latency += weight * (took - c.latency);
         c.base = c.answers < 32 ? c.latency : Math.min(c.latency, c.base + (c.latency - c.base) / 1024);
         blend(s, Math.min(SPEED_MAX, c.latency / took), 0);
@@ -495,25 +498,22 @@
 
     private void choose(int size) {
         Server[] before = use;
-        for (Server s : before) { s.inUse = false; }
         Server[] pool = Arrays.stream(ranked).filter(this::notDraining).toArray(Server[]::new);
         int ready = pool.length, count = Math.min(size, ready);
         int perRound = Math.max(1, settings.balancers() / rounds());
         int start = ready == 0 ? 0 : (int) ((long) (settings.me() / rounds()) * ready / perRound % ready);
         use = new Server[count];
-        for (int i = 0; i < count; i++) {
-            use[i] = pool[(start + i) % ready];
-            use[i].inUse = true;
-        }
-        Arrays.stream(before).filter(s -> !s.inUse && s.listed).forEach(s -> actions.closeIdle(s.id));
+        Arrays.setAll(use, i -> pool[(start + i) % ready]);
+        var in = Arrays.asList(use);
+        Arrays.stream(before).filter(s -> s.listed && !in.contains(s)).forEach(s -> actions.closeIdle(s.id));
     }
 
     // ---- Admission
 
     /** Moves the limit of requests open by how long answers take of their aim. */
-    private void aim(Request r, double atLeast) {
+    private void aim(Request r, double least) {
         double base = Math.min(seen[r.cls].base, classes[r.cls].aim() / 2.0);
-        double ratio = Math.max(atLeast, (now - r.arrivedAt - base) / (classes[r.cls].aim() - base));
+        double ratio = Math.max(least, (now - r.arrivedAt - base) / Math.max(1, classes[r.cls].aim() - base));
         aimRatio += (Math.min(ratio, 1) - aimRatio) / 16;
         if (aimRatio > AIM_SHARE) {
             if (now >= limitCutAt) {
--- a/balancer/src/main/java/calicochute/decision/Track.java
+++ b/balancer/src/main/java/calicochute/decision/Track.java
@@ -12,7 +12,7 @@
         /** Place in the order from which an instance takes its subset. */
         final long rank;
         Backend entry;
-        boolean listed, inUse;
+        boolean listed;
         /** A first call has been sent since its present start. */
         boolean polled;
         double speed = 1;
@@ -73,7 +73,6 @@
         void ended(boolean provesNotRun) {
             out = false;
             mayHaveRun = !provesNotRun;
-            request.out--;
             server.out--;
             if (older == null) { server.oldest = newer; } else { older.newer = newer; }
             if (newer == null) { server.newest = older; } else { newer.older = older; }
@@ -85,8 +84,8 @@
         final int cls;
         long arrivedAt, deadline;
         Attempt[] attempts = new Attempt[2];
-        /** Attempts sent and out, and how many it may have, as the settings were when it arrived. */
-        int sent, out, most;
+        /** Attempts sent, and how many it may have, as the settings were when it arrived. */
+        int sent, most;
         boolean ended;
 
         Request(long id, int cls, long arrivedAt, long deadline, Balancer.Limits limits) {
@@ -101,7 +100,6 @@
             if (sent == attempts.length) { attempts = Arrays.copyOf(attempts, sent * 2); }
             Attempt a = new Attempt(this, server, sent, now);
             attempts[sent++] = a;
-            out++;
             a.older = server.newest;
             if (a.older == null) { server.oldest = a; } else { a.older.newer = a; }
             server.newest = a;
@@ -115,9 +113,12 @@
         void whole(long now) {
             deadline += now - arrivedAt;
             arrivedAt = now;
-            if (out > 0) { attempts[sent - 1].sentAt = now; }
+            if (out()) { attempts[sent - 1].sentAt = now; }
         }
 
+        /** One is: the newest, since none goes out beside another. */
+        boolean out() { return sent > 0 && attempts[sent - 1].out; }
+
         boolean tried(Server server) {
             for (int i = 0; i < sent; i++) { if (attempts[i].server == server) { return true; } }
             return false;
--- /dev/null
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -0,0 +1,250 @@
+package calicochute.decision;
+
+import static calicochute.decision.Fixture.SECOND;
+import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.requestClass;
+import static calicochute.decision.Fixture.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicochute.decision.Balancer.Arrival;
+import calicochute.decision.Balancer.AttemptEnded;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.ClientGone;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Retuned;
+import calicochute.decision.Balancer.Settings;
+import calicochute.decision.Track.Seen;
+import calicochute.decision.Track.Server;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.opentest4j.AssertionFailedError;
+
+/** The mechanism at the edges of its numbers: nothing and one, zero and endless, far apart and at once. */
+class EdgeTest {
+    private static final RequestClass REPEATABLE = requestClass(Effect.REPEATABLE, KeyScope.ALL);
+    private long nextRequest = 1;
+
+    private static Backend[] fleet(int size, long startedAt) {
+        Backend[] fleet = new Backend[size];
+        for (int i = 0; i < size; i++) {
+            fleet[i] = Fixture.with(backend("b" + i, "z", i), BackendState.READY, startedAt);
+        }
+        return fleet;
+    }
+
+    private String one(Fixture f, Outcome outcome, long elapsed) {
+        f.arrive(nextRequest++, 4 * SECOND);
+        f.now += elapsed;
+        String backend = f.lastBackend();
+        f.outcome(0, outcome, elapsed);
+        return backend;
+    }
+
+    private Fixture steady(int servers) {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list(fleet(servers, 0));
+        for (int i = 0; i < 40 * servers; i++) {
+            one(f, Outcome.OK, 100_000);
+        }
+        return f;
+    }
+
+    private static void mustBeFinite(Choice c) {
+        for (Server s : c.servers.values()) {
+            assertTrue(Double.isFinite(s.speed) && s.speed >= 0 && Double.isFinite(c.effective(s)) && c.effective(s) > 0
+                && Double.isFinite(s.allowance), () -> s.id + " " + s.speed + " " + s.allowance);
+        }
+        for (Seen s : c.named.values()) {
+            assertTrue(Double.isFinite(s.latency) && s.latency >= 0 && Double.isFinite(s.base) && s.answers >= 0
+                && s.votes >= 0, () -> s.latency + " " + s.base + " " + s.answers + " " + s.votes);
+        }
+        for (double value : new double[] {c.limit, c.typical, c.warmRate, c.answerRate, c.retryTokens}) {
+            assertTrue(Double.isFinite(value) && value >= 0, () -> "" + value);
+        }
+    }
+
+    /** An aim of no time at all and an answer in none must not turn the share of the aim into no number for good. */
+    @Test
+    void anAimOfNothingLeavesAdmissionAtWork() {
+        RequestClass none = new RequestClass("c", Effect.REPEATABLE, KeyScope.ALL, 0, 0, 4 * SECOND, 1, 0.5, false);
+        Fixture f = new Fixture(settings(List.of(none), Fixture.LIMITS)).list(fleet(3, 0));
+        one(f, Outcome.OK, 0);
+        for (int i = 0; i < 80; i++) {
+            one(f, Outcome.OK, 3 * SECOND);
+        }
+        assertTrue(f.choice.limit < 100, "the limit still follows answers: " + f.choice.limit);
+    }
+
+    /** State noted by an older process, or a host's clock: an estimate from the future counts as one of now. */
+    @Test
+    void anEstimateFromTheFutureIsNoOlderThanNow() {
+        Fixture f = steady(2);
+        Server s = f.choice.servers.get("b0");
+        s.speed = 0.5;
+        for (long ahead : new long[] {1, SECOND, 100 * SECOND, 100_000 * SECOND}) {
+            s.sampledAt = f.now + ahead;
+            assertEquals(0.5, f.choice.effective(s), 1e-9, "ahead by " + ahead);
+        }
+    }
+
+    /**
+     * EXPECTED TO FAIL (docs/hardening-review.md, finding 2): a server that failed and then was silent has been forgiven by time;
+     * a good answer must not take that back. Says so as soon as it holds.
+     */
+    @Test
+    void aGoodAnswerAfterASilenceIsNoSetback() {
+        assertThrows(AssertionFailedError.class, this::goodAnswerAfterASilence,
+            "it holds now: call it plainly, and close finding 2");
+    }
+
+    private void goodAnswerAfterASilence() {
+        Fixture f = steady(4);
+        Server s = f.choice.servers.get("b0");
+        s.speed = 0;
+        f.now += 40 * SECOND;
+        for (f.arrive(nextRequest++, 4 * SECOND); !f.lastBackend().equals("b0"); f.arrive(nextRequest++, 4 * SECOND)) {
+            f.now += 100_000;
+            f.outcome(0, Outcome.OK, 100_000);
+        }
+        f.now += 100_000;
+        double before = f.choice.effective(s) * (1 + Choice.CROWD);
+        f.outcome(0, Outcome.OK, 100_000);
+        assertTrue(f.choice.effective(s) >= before, before + " became " + f.choice.effective(s));
+    }
+
+    /** Counts that only grow must not turn over: in daily service they are never set back. */
+    @Test
+    void countsDoNotTurnOver() {
+        Fixture f = steady(1);
+        Seen seen = f.choice.named.get("c");
+        for (int count : new int[] {Integer.MAX_VALUE, -1, Integer.MIN_VALUE}) {
+            seen.answers = Math.max(seen.answers, count);
+            seen.votes = Math.max(seen.votes, count);
+            one(f, Outcome.OK, 100_000);
+            one(f, Outcome.OK, 100_000);
+            mustBeFinite(f.choice);
+            assertEquals(100_000, seen.latency, 1);
+        }
+        Fixture asks = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS, true, 0, 1));
+        asks.list(ListKind.RESTORED, fleet(1, 0));
+        for (int i = 0; i < 100; i++) {
+            asks.list(ListKind.UNAVAILABLE);
+        }
+        asks.timers.forEach(t -> assertTrue(t.at() - asks.now <= Fixture.RULES.askEvery() / 2 + 1));
+    }
+
+    /** A tier that is cold as a whole: nothing tells what warm ones bear, yet it must not be left without a session. */
+    @Test
+    void aTierThatIsColdAsAWholeIsServedByLittles() {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL);
+        long from = f.now;
+        f.list(fleet(6, from));
+        Map<String, Integer> sent = new HashMap<>();
+        for (int i = 0; i < 400; i++) {
+            int before = f.sent.size();
+            f.arrive(nextRequest++, SECOND / 10);
+            f.pass(f.now + 20_000);
+            if (f.sent.size() > before) {
+                sent.merge(f.lastBackend(), 1, Integer::sum);
+                f.outcome(0, Outcome.OK, 20_000);
+            }
+        }
+        double spans = (f.now - from) / (double) Fixture.RULES.fall();
+        assertEquals(6, sent.size(), "servers that got a call");
+        sent.forEach((id, n) -> assertTrue(n <= spans + 2, id + " got " + n + " in " + spans + " spans"));
+    }
+
+    @Test
+    void noServerAndOneAndAllAtTheFloor() {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list();
+        f.arrive(1, SECOND);
+        assertTrue(f.sent.isEmpty());
+        f.list(fleet(1, 0));
+        f.pass(f.now + 100_000);
+        assertEquals(1, f.sent.size());
+        f.outcome(0, Outcome.OK, 100_000);
+        f.list();
+        f.list(fleet(5, 0));
+        nextRequest = 2;
+        for (int i = 0; i < 400; i++) {
+            one(f, Outcome.ERROR, 10_000);
+        }
+        mustBeFinite(f.choice);
+        Set<String> met = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            f.now += SECOND;
+            met.add(one(f, Outcome.OK, 100_000));
+        }
+        assertEquals(5, met.size(), "each finds a way back");
+    }
+
+    /** Any order of events with any times: no exception, all numbers finite, one end for each session, every send legal. */
+    @Property(tries = 150, seed = "20261201")
+    void anyOrderKeepsAllNumbersFinite(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+        Random random = new Random(seed);
+        List<RequestClass> classes = new ArrayList<>();
+        for (Effect effect : Effect.values()) {
+            classes.add(new RequestClass(effect.name(), effect, KeyScope.ALL, random.nextInt(2) * SECOND,
+                random.nextInt(3) * 500_000, 1 + random.nextInt(4) * SECOND, random.nextInt(3), random.nextInt(2), false));
+        }
+        Settings first = settings(classes, Fixture.LIMITS, random.nextBoolean(), random.nextInt(9), 1 + random.nextInt(40));
+        Fixture f = new Fixture(first);
+        Map<Long, Integer> ends = new HashMap<>();
+        for (int i = 0; i < 250; i++) {
+            f.now += switch (random.nextInt(12)) {
+                case 0 -> 0;
+                case 1 -> random.nextInt(100) * 1000 * SECOND;
+                default -> random.nextInt(200_000);
+            };
+            f.pass(f.now);
+            switch (random.nextInt(10)) {
+                case 0 -> f.list(random.nextBoolean() ? ListKind.FULL : ListKind.UNAVAILABLE,
+                    fleet(random.nextInt(16), random.nextBoolean() ? 0 : f.now));
+                case 1 -> {
+                    classes.add(new RequestClass("new" + i, Effect.REPEATABLE, KeyScope.ALL, 0, 1, 1, 1, 0, false));
+                    f.on(new Retuned(settings(classes, Fixture.LIMITS)));
+                }
+                case 2 -> f.on(new ClientGone(random.nextInt((int) nextRequest)));
+                case 3, 4, 5, 6 -> f.on(new Arrival(nextRequest++, random.nextInt(classes.size()), -1, null,
+                    new long[] {0, 1, 1000, SECOND, 3_600 * SECOND}[random.nextInt(5)], random.nextBoolean()));
+                default -> end(f, random);
+            }
+            mustBeFinite(f.choice);
+        }
+        f.pass(f.now + 7200 * SECOND);
+        for (String said : f.said) {
+            if (said.startsWith("refuse") || said.startsWith("fail")) {
+                ends.merge(Long.parseLong(said.split(" ")[1]), 1, Integer::sum);
+            }
+        }
+        ends.forEach((id, n) -> assertEquals(1, n, "ends of " + id));
+    }
+
+    /** Ends any attempt that is out. */
+    private static void end(Fixture f, Random random) {
+        for (Server s : f.choice.servers.values()) {
+            if (s.oldest != null) {
+                Outcome[] all = Outcome.values();
+                Outcome how = all[random.nextInt(all.length)];
+                f.on(new AttemptEnded(s.oldest.request.id, s.oldest.number, s.id, how == Outcome.OK, how,
+                    random.nextInt(3) * (f.now - s.oldest.sentAt), null));
+                return;
+            }
+        }
+    }
+}
