Settings out of range are turned down by name instead of met as a fault later

Lines at fault: the casts and Double.parseDouble in SettingsParser; Long.parseLong of caps.conn_idle, which took 0 and refused 3e7. Change: count, time and decimal with their ranges in one place; the message names path, range and value.

--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -50,7 +50,7 @@
                 Bounds.of(limits.has("sockets") ? limits.get("sockets").getAsInt() : DEFAULT_SOCKETS,
                     admin != null,
                     limits.has("memory_mb") ? limits.get("memory_mb").getAsInt() : DEFAULT_MEMORY_MB),
-                Long.parseLong(values.getOrDefault("caps.conn_idle", "" + DEFAULT_CONNECTION_IDLE)),
+                SettingsParser.time(values, "caps.conn_idle", DEFAULT_CONNECTION_IDLE),
                 root.has("known") ? root.get("known").toString() : "", settings, document);
         } catch (IOException e) {
             throw new SettingsException("cannot read " + file);
--- a/balancer/src/main/java/calicochute/settings/SettingsParser.java
+++ b/balancer/src/main/java/calicochute/settings/SettingsParser.java
@@ -25,22 +25,27 @@
         return new SettingsParser(values).settings();
     }
 
+    /** One time in microseconds, by its path; at least 1. */
+    static long time(Map<String, String> values, String path, long absent) throws SettingsException {
+        return new SettingsParser(values).time(path, absent, 1);
+    }
+
     private Settings settings() throws SettingsException {
         Limits limits = new Limits(flag("caps.cancel"), flag("caps.second_copies"), flag("caps.probes"),
-            flag("caps.peers"), flag("caps.retry_after"), (int) number("caps.max_attempts", 1),
-            (int) number("caps.max_open", Integer.MAX_VALUE), (int) number("caps.streams_per_conn", 1),
-            number("caps.connect_timeout", 0), number("caps.max_retry_after", 0));
-        Rules rules = new Rules(number("obligations.answer_slack", 0), number("obligations.ask_every", 0),
-            decimal("obligations.cold_from", 1), number("obligations.warm_up", 0),
-            number("obligations.drain_grace", 0), decimal("obligations.fall_multiple", 1),
-            number("obligations.fall", 0));
+            flag("caps.peers"), flag("caps.retry_after"), count("caps.max_attempts", 1, 1),
+            count("caps.max_open", Integer.MAX_VALUE, 0), count("caps.streams_per_conn", 1, 0),
+            time("caps.connect_timeout", 0, 0), time("caps.max_retry_after", 0, 0));
+        Rules rules = new Rules(time("obligations.answer_slack", 0, 0), time("obligations.ask_every", 0, 0),
+            decimal("obligations.cold_from", 1), time("obligations.warm_up", 0, 0),
+            time("obligations.drain_grace", 0, 0), decimal("obligations.fall_multiple", 1),
+            time("obligations.fall", 0, 0));
         Goal goal = new Goal(decimal("goal.whole", 1), decimal("goal.worst_window", 0),
             decimal("goal.worst_class", 0), decimal("goal.worst_tenant", 0), decimal("prices.cross_zone", 0),
             decimal("prices.waste", 0), decimal("prices.late_fail", 0));
-        return new Settings(seed(), (int) number("me", 0), (int) number("balancers", 1),
-            (int) number("layer", 0), flag("domain.passes_deadline"),
+        return new Settings(seed(), count("me", 0, 0), count("balancers", 1, 0),
+            count("layer", 0, 0), flag("domain.passes_deadline"),
             text("discovery", "pushed").equals("on_request"), flag("client_habits.marks_retry"), text("zone", ""),
-            number("tick", 1000), decimal("over_share_worth", 1), reportFields(), classes(), tenants(), limits, rules, goal);
+            time("tick", 1000, 1), decimal("over_share_worth", 1), reportFields(), classes(), tenants(), limits, rules, goal);
     }
 
     private long seed() throws SettingsException {
@@ -57,14 +62,14 @@
 
     private List<RequestClass> classes() throws SettingsException {
         List<RequestClass> classes = new ArrayList<>();
-        for (int i = 0; i < number("classes.count", 0); i++) {
+        for (int i = 0; i < count("classes.count", 0, 0); i++) {
             String at = "classes." + i + ".";
             if (!values.containsKey(at + "name")) {
                 throw new SettingsException("born lacks " + at + "name");
             }
-            long deadline = number(at + "deadline", 60_000_000);
+            long deadline = time(at + "deadline", 60_000_000, 1);
             classes.add(new RequestClass(text(at + "name", ""), effect(text(at + "effect", "once")),
-                scope(text(at + "key_scope", "cell")), number(at + "window", 0), number(at + "objective", deadline),
+                scope(text(at + "key_scope", "cell")), time(at + "window", 0, 0), time(at + "objective", deadline, 1),
                 deadline, decimal(at + "points", 1), decimal(at + "late_worth", 0), flag(at + "streaming")));
         }
         return classes;
@@ -72,7 +77,7 @@
 
     private List<Tenant> tenants() throws SettingsException {
         List<Tenant> tenants = new ArrayList<>();
-        for (int i = 0; i < number("accounts.count", 0); i++) {
+        for (int i = 0; i < count("accounts.count", 0, 0); i++) {
             String at = "accounts." + i + ".";
             tenants.add(new Tenant(text(at + "name", ""), decimal(at + "portion", 1),
                 decimal(at + "allowance_per_s", Double.MAX_VALUE)));
@@ -120,15 +125,36 @@
         }
     }
 
+    private int count(String path, int absent, int least) throws SettingsException {
+        return (int) within(path, number(path, absent), least, Integer.MAX_VALUE);
+    }
+
+    /** Microseconds; sums of a few of them stay within a long. */
+    private long time(String path, long absent, long least) throws SettingsException {
+        return within(path, number(path, absent), least, Long.MAX_VALUE / 16);
+    }
+
+    private static long within(String path, long value, long least, long most) throws SettingsException {
+        if (value < least || value > most) {
+            throw new SettingsException(path + " is not from " + least + " to " + most + ": " + value);
+        }
+        return value;
+    }
+
     private double decimal(String path, double absent) throws SettingsException {
         String value = values.get(path);
         if (value == null) {
             return absent;
         }
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            // Guards against what would make no number of all it enters.
+            if (number >= 0 && number < Double.POSITIVE_INFINITY) {
+                return number;
+            }
         } catch (NumberFormatException e) {
             throw new SettingsException(path + " is not a number: '" + value + "'");
         }
+        throw new SettingsException(path + " is not a number of 0 or more: '" + value + "'");
     }
 }
