--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -52,6 +52,8 @@
     private static final long WATCH = 500_000;
     private static final long UPLOAD_STILL = 10_000_000;
     private static final long ANSWER_STILL = 5_000_000;
+    /** Idle connections are looked at no more often. */
+    private static final long SWEEP = 10_000;
     private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
@@ -78,7 +80,7 @@
         room = bounds.serverConnections();
         window = bounds.window();
         this.listener = listener;
-        queue.after(idleTime / 2, this::sweep);
+        queue.after(sweepEvery(), this::sweep);
     }
 
     /** New settings; what is under way goes on as it began. */
@@ -229,7 +231,12 @@
 
     private void sweep() {
         servers.values().forEach(s -> count(s.closeIdleSince(queue.now() - idleTime)));
-        queue.after(idleTime / 2, this::sweep);
+        queue.after(sweepEvery(), this::sweep);
+    }
+
+    /** Guards against a thread that does nothing else where servers drop connections almost at once. */
+    private long sweepEvery() {
+        return Math.max(SWEEP, idleTime / 2);
     }
 
     private void count(int closed) {
@@ -469,8 +476,8 @@
         }
 
         private void call(boolean reused) {
-            if (server.unwanted) {
-                // Guards against a call that waited for its connection while its server was taken out.
+            if (server.unwanted || server.gone) {
+                // Guards against a call that waited for its connection while its server was taken out or left the list.
                 counters.count(Counter.DISPATCHES_HELD_BACK);
                 end(Outcome.MOOT, null);
                 return;
--- /dev/null
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -0,0 +1,155 @@
+package calicochute.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicochute.connection.Connector;
+import calicochute.decision.Balancer.Limits;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.exchange.Answer;
+import calicochute.exchange.Body;
+import calicochute.exchange.DecisionQueue;
+import calicochute.exchange.Dispatch;
+import calicochute.exchange.Exchange;
+import calicochute.exchange.Message;
+import calicochute.metrics.Counters;
+import calicochute.settings.Bounds;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Dispatches step by step: the test is the decision thread, on real connections. */
+class BackendServersTest {
+    /** A clock that goes on by a step at each look, as on a machine short of processor time; tasks are run by the test. */
+    private static final class HandQueue implements DecisionQueue {
+        private static final long STEP = 3_000;
+        final BlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+        final List<Long> dueAt = new ArrayList<>();
+        final List<Runnable> alarms = new ArrayList<>();
+        private long now = 1_000_000;
+
+        @Override
+        public long now() {
+            return now += STEP;
+        }
+
+        @Override
+        public void post(Runnable task) {
+            posted.add(task);
+        }
+
+        @Override
+        public Alarm after(long micros, Runnable task) {
+            dueAt.add(now + micros);
+            alarms.add(task);
+            return () -> { };
+        }
+    }
+
+    private final HandQueue queue = new HandQueue();
+    private final List<Outcome> outcomes = new ArrayList<>();
+
+    private Dispatch dispatch() {
+        Exchange exchange = new Exchange(1, "1", new Message("GET", "/", List.of(), new Body.Whole(new byte[0])), 0, -1,
+            new Limits(true, false, false, false, false, 3, 10, 1, 500_000, 0), false, queue.now(), 900_000, a -> { });
+        return exchange.dispatch("s", queue.now());
+    }
+
+    private BackendServers servers(Connector connector, int port) {
+        BackendServers servers = new BackendServers(connector, queue, new Counters(), List.of(), 500_000, 30_000_000,
+            Bounds.of(256, false, 64), new DispatchListener() {
+                @Override
+                public void dispatchBegun(Dispatch dispatch, Answer answer) {
+                }
+
+                @Override
+                public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load) {
+                    outcomes.add(outcome);
+                }
+
+                @Override
+                public void dispatchWritten() {
+                }
+
+                @Override
+                public void probeEnded(String server, Outcome outcome, long elapsed, double[] load) {
+                }
+            });
+        servers.address("s", new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        return servers;
+    }
+
+    /** A dispatch's time runs from its sending, however long this side takes to prepare it. */
+    @Test
+    void theTimeOutIsDueOnTimeAfterASlowStart() {
+        try (Connector connector = new Connector()) {
+            BackendServers servers = servers(connector, 1);
+            Dispatch dispatch = dispatch();
+            queue.now();
+            servers.send(dispatch, 100_000);
+            assertEquals(dispatch.sentAt + 100_000, queue.dueAt.get(1), "the first alarm is the sweep's");
+        }
+    }
+
+    private void checkHeldBack(Consumer<BackendServers> takeOut) throws IOException, InterruptedException {
+        try (Connector connector = new Connector();
+             ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            connector.start();
+            BackendServers servers = servers(connector, listener.getLocalPort());
+            servers.send(dispatch(), 100_000);
+            Socket socket = listener.accept();
+            queue.posted.poll(30, TimeUnit.SECONDS).run();
+            takeOut.accept(servers);
+            queue.alarms.get(queue.alarms.size() - 1).run();
+            assertEquals(List.of(Outcome.MOOT), outcomes);
+            assertTrue(endedUnused(socket), "nothing was sent, and the connection ended");
+            socket.close();
+        }
+    }
+
+    private static boolean endedUnused(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
+    /** What waits for its connection is not begun once its server is out, in each of the ways it can be. */
+    @ParameterizedTest
+    @ValueSource(strings = {"out by hand or draining", "not on a whole list", "gone", "moved"})
+    void aCallThatWaitedIsHeldBack(String how) throws Exception {
+        checkHeldBack(servers -> {
+            switch (how) {
+                case "not on a whole list" -> servers.keepOnly(Set.of());
+                case "gone" -> servers.forget("s");
+                case "moved" -> servers.address("s", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+                default -> servers.wanted("s", false);
+            }
+        });
+    }
+
+    /** Servers that drop idle connections almost at once must not keep the decision thread sweeping and nothing else. */
+    @Test
+    void sweepsAreSpacedHoweverShortTheIdleTime() {
+        try (Connector connector = new Connector()) {
+            new BackendServers(connector, queue, new Counters(), List.of(), 500_000, 1, Bounds.of(256, false, 64), null);
+            assertTrue(queue.dueAt.get(0) - queue.now() >= 10_000 - 2 * HandQueue.STEP, () -> "" + queue.dueAt);
+            queue.alarms.get(0).run();
+            assertTrue(queue.dueAt.get(1) - queue.now() >= 10_000 - 2 * HandQueue.STEP, () -> "" + queue.dueAt);
+        }
+    }
+}
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -7,7 +7,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -84,10 +83,9 @@
     /** A server that resets a connection as it comes up has run nothing: the session is denied, not failed. */
     @Test
     public void aConnectionResetAtOnceRanNothing() throws Exception {
-        server.close();
-        try (ServerSocket listener = new ServerSocket()) {
-            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                Integer.parseInt(server.address().replaceAll(".*:", ""))));
+        program.stop();
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            program = Program.with(discovery, "127.0.0.1:" + listener.getLocalPort());
             Thread resets = new Thread(() -> {
                 try {
                     while (true) {
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -54,6 +54,11 @@
         return new Program("", 1024, freePort(), discovery, addresses(servers));
     }
 
+    /** With servers that are no peers of ours. */
+    static Program with(Peer discovery, String... servers) throws Exception {
+        return new Program("", 1024, 0, discovery, servers);
+    }
+
     /** With a second address, and a server that listens there but is no peer of ours. */
     static Program before(Peer discovery, String server) throws Exception {
         return new Program("", 1024, freePort(), discovery, server);
@@ -125,7 +130,7 @@
         return list(generation, lifecycle, addresses(servers));
     }
 
-    private static String list(int generation, String lifecycle, String... servers) {
+    static String list(int generation, String lifecycle, String... servers) {
         StringBuilder entries = new StringBuilder();
         for (String server : servers) {
             entries.append(entries.isEmpty() ? "" : ",").append("{\"instanceId\":\"s").append(server)
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -295,6 +295,23 @@
         }
     }
 
+    /** The node's own denies too: over the bound on open sessions they say when to come back, unless the site has none of it. */
+    @Test
+    public void aDenyOverTheBoundSaysWhenToComeBack() throws Exception {
+        String text = Files.readString(program.config).replace("\"max_open\":20000", "\"max_open\":0");
+        Files.writeString(program.config, text);
+        program.signal("HUP");
+        await("taken", () -> program.counter("reloads") == 1);
+        assertEquals("3.000", send("view").header("Retry-After"));
+        Files.writeString(program.config, text.replace("\"retry_after\":true", "\"retry_after\":false"));
+        program.signal("HUP");
+        await("taken", () -> program.counter("reloads") == 2);
+        Http denied = send("view");
+        assertEquals(503, denied.status());
+        assertEquals(null, denied.header("Retry-After"));
+        assertEquals(2, program.counter("sessions_over_limit"));
+    }
+
     @Test
     public void aBadConfigurationEndsTheStart() throws Exception {
         Path config = Files.createTempFile("calicochute", ".json");
