A process started with SIGHUP ignored says so instead of never taking new settings

The failing plays were started under nohup; SIGHUP is then ignored from birth, is inherited through exec, and the virtual machine leaves an ignored SIGHUP alone: Signal.handle returns SIG_IGN and installs nothing. Ruled out: a lost or merged signal (all four were missed by all nine nodes), the file, the settings. Lines at fault: Hangup.handle dropped that answer. The process can't undo it without native code; 'trap - HUP' in a shell can't either. ServeTest#aStartWithSighupIgnoredIsTold starts the program under trap '' HUP; it failed before.

--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -27,7 +27,9 @@
         Node node = new Node(told, counters, InheritedSocket.get(), shared(told.name()));
         // Before the start: without a handler SIGHUP ends a Java program, and /ready may say 200 as soon as it listens.
         running = told;
-        Hangup.handle(() -> reload(node));
+        if (!Hangup.handle(() -> reload(node))) {
+            Log.warn("hangup-ignored", "started with SIGHUP ignored (nohup?): new settings can't be taken over until a restart");
+        }
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
         // Only now: a start that fails must end with its own status, not with that of a planned stop.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -5,6 +5,7 @@
 import static calicochute.process.Program.session;
 import static org.junit.Assert.assertArrayEquals;
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
@@ -295,6 +296,18 @@
         }
     }
 
+    /** Started under nohup it can't hear SIGHUP: it says so at once, rather than leaving staff with settings that never come. */
+    @Test
+    public void aStartWithSighupIgnoredIsTold() throws Exception {
+        assertFalse(program.log().contains("hangup-ignored"));
+        Program deaf = new Program("trap '' HUP; ", 1024, discovery, server);
+        try {
+            assertTrue(deaf.log().contains("hangup-ignored"));
+        } finally {
+            deaf.stop();
+        }
+    }
+
     /** The node's own denies too: over the bound on open sessions they say when to come back, unless the site has none of it. */
     @Test
     public void aDenyOverTheBoundSaysWhenToComeBack() throws Exception {
