Load probes, load reports and fetches of whole lists go: the module asks for none

Checked: discovery sends the whole list by itself where a watch has fallen behind, so nothing but the watch is needed. Ruled out: leaving them as they cost nothing; the parse runs once an answer. ServeTest, BadServerTest, AdminTest, PiecesTest, BackendServersTest pass.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -17,7 +17,6 @@
 import calicochute.pool.Pool;
 import calicochute.settings.Bounds;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -29,7 +28,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
-/** The servers' side: carries out dispatches and probes over connections it keeps. All on the decision thread. */
+/** The servers' side: carries out dispatches over connections it keeps. All on the decision thread. */
 public final class BackendServers {
     /**
      * How long an answer's connection rests before its next call: what a server sends behind an answer comes at once,
@@ -54,11 +53,9 @@
     private static final long ANSWER_STILL = 5_000_000;
     /** Idle connections are looked at no more often. */
     private static final long SWEEP = 10_000;
-    private static final String LOAD = "X-Pressure";
     private final Connector connector;
     private final DecisionQueue queue;
     private final Counters counters;
-    private List<String> reportFields;
     private long connectTimeout;
     private final long idleTime;
     private final int room;
@@ -69,12 +66,12 @@
     private final Map<String, BackendServer> servers = new HashMap<>();
     private final Map<Dispatch, Errand> out = new HashMap<>();
 
-    public BackendServers(Connector connector, DecisionQueue queue, Counters counters, List<String> reportFields,
-                          long connectTimeout, long connectionIdle, Bounds bounds, DispatchListener listener) {
+    public BackendServers(Connector connector, DecisionQueue queue, Counters counters, long connectTimeout,
+                          long connectionIdle, Bounds bounds, DispatchListener listener) {
         this.connector = connector;
         this.queue = queue;
         this.counters = counters;
-        retune(reportFields, connectTimeout);
+        retune(connectTimeout);
         // Guards against the reset of a call that crosses the server's own closing of an idle connection.
         idleTime = Math.max(1, connectionIdle / 3);
         room = bounds.serverConnections();
@@ -84,8 +81,7 @@
     }
 
     /** New settings; what is under way goes on as it began. */
-    public void retune(List<String> fields, long timeout) {
-        reportFields = fields;
+    public void retune(long timeout) {
         connectTimeout = timeout > 0 ? timeout : 1_000_000;
     }
 
@@ -143,8 +139,7 @@
             public void ended(Outcome outcome, Reply reply) {
                 out.remove(dispatch);
                 // One that had begun has had its answer.
-                listener.dispatchEnded(dispatch, outcome, dispatch.exchange.closed() ? null : answer(outcome, reply),
-                    reply == null ? null : LoadReport.parse(reply.header(LOAD), reportFields));
+                listener.dispatchEnded(dispatch, outcome, dispatch.exchange.closed() ? null : answer(outcome, reply));
             }
         });
         out.put(dispatch, errand);
@@ -159,18 +154,6 @@
         }
     }
 
-    /** Asks a server for its load; not a session, so nothing but the answer counts. */
-    public void probe(String server, long timeout) {
-        counters.count(Counter.PROBES_SENT);
-        long from = queue.now();
-        BackendServer target = servers.get(server);
-        HttpRequest request = new BasicHttpRequest("GET", "/status/load");
-        request.addHeader("Host", target.address.getHostString() + ":" + target.address.getPort());
-        new Errand(target, request, Body.EMPTY, (outcome, reply) -> listener.probeEnded(server, outcome,
-            queue.now() - from, outcome != Outcome.OK ? null
-                : LoadReport.parse(new String(reply.body(), StandardCharsets.US_ASCII), reportFields))).start(from, timeout);
-    }
-
     /** Closes the idle connections to a server. */
     public void closeIdle(String server) {
         BackendServer known = servers.get(server);
--- a/balancer/src/main/java/calicochute/backend/DispatchListener.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchListener.java
@@ -4,16 +4,14 @@
 import calicochute.exchange.Answer;
 import calicochute.exchange.Dispatch;
 
-/** Hears on the decision thread how dispatches and probes ended, each exactly once; and on an I/O thread what was sent. */
+/** Hears on the decision thread how dispatches ended, each exactly once; and on an I/O thread what was sent. */
 public interface DispatchListener {
-    /** {@code answer} is the session's final answer where this settles it, else null; {@code load} may be null. */
-    void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load);
+    /** {@code answer} is the session's final answer where this settles it, else null. */
+    void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer);
 
     /** The session's final answer has begun and is passed on in pieces; {@link #dispatchEnded} tells how it ended. */
     void dispatchBegun(Dispatch dispatch, Answer answer);
 
     /** A dispatch's last byte has been written; on an I/O thread. */
     void dispatchWritten();
-
-    void probeEnded(String server, Outcome outcome, long elapsed, double[] load);
 }
--- a/balancer/src/main/java/calicochute/discovery/Discovery.java
+++ b/balancer/src/main/java/calicochute/discovery/Discovery.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
-/** Asks discovery for the whole list and keeps the watch on its changes. All on the decision thread. */
+/** Keeps the watch on the list of backend servers; discovery sends all of it where changes would not do. All on the decision thread. */
 public final class Discovery {
     private static final String PATH = "/v1/endpoints";
     /** How long a watch waits; short enough that a silent network is noticed soon. */
@@ -77,11 +77,6 @@
         }
     }
 
-    /** Asks for the whole list once. */
-    public void fetch() {
-        new Query(this::fetched).ask(PATH, PATIENCE);
-    }
-
     private void follow() {
         watch.ask(PATH + "?since=" + generation + "&timeout_ms=" + WAIT_MS, WAIT_MS * 1000 + PATIENCE);
     }
@@ -102,15 +97,6 @@
         }
     }
 
-    private void fetched(ServerList list) {
-        if (list == null) {
-            listener.unavailable();
-        } else {
-            generation = Math.max(generation, list.generation());
-            listener.listed(list);
-        }
-    }
-
     /** Calls to discovery, one after another on a connection of their own; {@code null} tells that one failed. */
     private final class Query {
         private final Consumer<ServerList> heard;
--- a/balancer/src/main/java/calicochute/exchange/Body.java
+++ b/balancer/src/main/java/calicochute/exchange/Body.java
@@ -2,8 +2,6 @@
 
 /** A message's body, as it came. */
 public sealed interface Body {
-    Body EMPTY = new Whole(new byte[0]);
-
     /** All of it; may be handed on as often as need be, and must not be changed. */
     record Whole(byte[] bytes) implements Body { }
 
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -54,7 +54,6 @@
     /** How often clients' connections are looked at while they are sent away. */
     private static final long LOOK_AGAIN = 100_000;
     private static final long NOTE_EVERY = 500_000;
-    private static final long PROBE_TIMEOUT = 1_000_000;
     private final Configuration configuration;
     private volatile Succession succession;
     private final Counters counters;
@@ -92,8 +91,8 @@
         succession = Succession.of(settings);
         queue = new DecisionThread(counters);
         balancer = Balancer.create(settings);
-        backend = new BackendServers(connector, queue, counters, settings.reportFields(),
-            settings.limits().connectTimeout(), configuration.connectionIdle(), configuration.bounds(), this);
+        backend = new BackendServers(connector, queue, counters, settings.limits().connectTimeout(),
+            configuration.connectionIdle(), configuration.bounds(), this);
         membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership);
         frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence,
@@ -134,7 +133,7 @@
         queue.post(() -> {
             succession = next;
             next.classes().forEach(c -> figures.listClass(c.name()));
-            backend.retune(changed.settings().reportFields(), changed.settings().limits().connectTimeout());
+            backend.retune(changed.settings().limits().connectTimeout());
             tell(new Balancer.Retuned(next.forModule()));
             counters.count(Counter.RELOADS);
             figures.reloaded(true);
@@ -375,7 +374,7 @@
     // ---- Dispatches
 
     @Override
-    public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load) {
+    public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer) {
         Exchange exchange = dispatch.exchange;
         boolean first = dispatch.end(outcome);
         counters.mustHold(first, "a dispatch ended twice");
@@ -388,7 +387,7 @@
             tell(new Balancer.BodyState(exchange.id, true, false));
         }
         tell(new Balancer.AttemptEnded(exchange.id, dispatch.number, dispatch.server, exchange.closed(), outcome,
-            elapsed(dispatch), load));
+            elapsed(dispatch), null));
         retire(exchange);
     }
 
@@ -416,14 +415,6 @@
         figures.dispatchWritten();
     }
 
-    @Override
-    public void probeEnded(String server, Outcome outcome, long elapsed, double[] load) {
-        if (outcome == Outcome.OK) {
-            counters.count(Counter.PROBES_OK);
-        }
-        tell(new Balancer.Probed(server, outcome, elapsed, load));
-    }
-
     private void tell(Balancer.Event event) {
         balancer.on(queue.now(), event, this);
     }
@@ -444,7 +435,7 @@
         if (legal) {
             backend.send(dispatch, Math.min(timeout, exchange.deadline() - ANSWER_MARGIN - queue.now()));
         } else {
-            queue.post(() -> dispatchEnded(dispatch, Outcome.MOOT, null, null));
+            queue.post(() -> dispatchEnded(dispatch, Outcome.MOOT, null));
         }
     }
 
@@ -486,14 +477,12 @@
 
     @Override
     public void fetchList() {
-        discovery.fetch();
+        counters.mustHold(false, "whole lists are not asked for: the watch begins with one where it has to");
     }
 
     @Override
     public void probe(String server) {
-        if (backend.knows(server)) {
-            backend.probe(server, PROBE_TIMEOUT);
-        }
+        counters.mustHold(false, "load is neither asked for nor read");
     }
 
     @Override
--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -69,24 +69,20 @@
     }
 
     private BackendServers servers(Connector connector, int port) {
-        BackendServers servers = new BackendServers(connector, queue, new Counters(), List.of(), 500_000, 30_000_000,
+        BackendServers servers = new BackendServers(connector, queue, new Counters(), 500_000, 30_000_000,
             Bounds.of(256, false, 64), new DispatchListener() {
                 @Override
                 public void dispatchBegun(Dispatch dispatch, Answer answer) {
                 }
 
                 @Override
-                public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer, double[] load) {
+                public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer) {
                     outcomes.add(outcome);
                 }
 
                 @Override
                 public void dispatchWritten() {
                 }
-
-                @Override
-                public void probeEnded(String server, Outcome outcome, long elapsed, double[] load) {
-                }
             });
         servers.address("s", new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         return servers;
@@ -146,7 +142,7 @@
     @Test
     void sweepsAreSpacedHoweverShortTheIdleTime() {
         try (Connector connector = new Connector()) {
-            new BackendServers(connector, queue, new Counters(), List.of(), 500_000, 1, Bounds.of(256, false, 64), null);
+            new BackendServers(connector, queue, new Counters(), 500_000, 1, Bounds.of(256, false, 64), null);
             assertTrue(queue.dueAt.get(0) - queue.now() >= 10_000 - 2 * HandQueue.STEP, () -> "" + queue.dueAt);
             queue.alarms.get(0).run();
             assertTrue(queue.dueAt.get(1) - queue.now() >= 10_000 - 2 * HandQueue.STEP, () -> "" + queue.dueAt);
