Tests for two faults put in by hand that no test caught

Put in: speeds divided by the typical in place of the best (Choice.softmax); open counted down twice where a client goes before its dispatch ends (Choice.finish). All tests of the modules without I/O passed with either. EdgeTest#sharesOfTheFastDoNotHangOnTheSlow and #aSessionIsCountedOutOnce fail with them and pass without.

--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -169,6 +169,38 @@
         sent.forEach((id, n) -> assertTrue(n <= spans + 2, id + " got " + n + " in " + spans + " spans"));
     }
 
+    /** Speeds are divided by the best and not by the mean: slow servers beside them change nothing between two fast ones. */
+    @Test
+    void sharesOfTheFastDoNotHangOnTheSlow() {
+        Fixture f = steady(6);
+        Map<String, Integer> got = new HashMap<>();
+        for (int i = 0; i < 6000; i++) {
+            f.choice.servers.values().forEach(s -> {
+                s.speed = s.id.equals("b0") ? 1.6 : s.id.equals("b1") ? 1.5 : 0.3;
+                s.sampledAt = f.now + 100_000;
+            });
+            got.merge(one(f, Outcome.OK, 100_000), 1, Integer::sum);
+        }
+        double promised = Math.exp((1.5 / 1.6 - 1) / 0.07);
+        assertEquals(promised, got.get("b1") / (double) got.get("b0"), 0.04);
+    }
+
+    /** A client goes and its dispatch ends later: one session less, not two, or the limit would never be reached again. */
+    @Test
+    void aSessionIsCountedOutOnce() {
+        Fixture f = steady(3);
+        for (int i = 0; i < 50; i++) {
+            f.arrive(nextRequest, 4 * SECOND);
+            f.on(new ClientGone(nextRequest++));
+            f.outcome(0, Outcome.CANCELLED, 0);
+        }
+        f.choice.limit = 8;
+        for (int i = 0; i < 20; i++) {
+            f.arrive(nextRequest++, 4 * SECOND);
+        }
+        assertTrue(f.said.stream().filter(s -> s.startsWith("refuse")).count() >= 10, "refused over the limit");
+    }
+
     @Test
     void noServerAndOneAndAllAtTheFloor() {
         Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list();
