--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -70,7 +70,7 @@
 
     private BackendServers servers(Connector connector, int port) {
         BackendServers servers = new BackendServers(connector, queue, new Counters(), 500_000, 30_000_000,
-            Bounds.of(256, false, 64), new DispatchListener() {
+            Bounds.of(64, false, 64), new DispatchListener() {
                 @Override
                 public void dispatchBegun(Dispatch dispatch, Answer answer) {
                 }
@@ -138,6 +138,27 @@
         });
     }
 
+    /** Connections that servers end make room again: the bound is on those there are, not on those there were. */
+    @Test
+    void endedConnectionsLeaveTheBound() throws Exception {
+        try (Connector connector = new Connector();
+             ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            connector.start();
+            listener.setSoTimeout(30_000);
+            BackendServers servers = servers(connector, listener.getLocalPort());
+            for (int i = 1; i <= 2 * Bounds.of(64, false, 64).serverConnections(); i++) {
+                servers.send(dispatch(), 100_000);
+                Socket socket = listener.accept();
+                queue.posted.poll(30, TimeUnit.SECONDS).run();
+                Runnable begin = queue.alarms.get(queue.alarms.size() - 1);
+                socket.close();
+                queue.posted.poll(30, TimeUnit.SECONDS).run();
+                begin.run();
+                assertEquals(i, outcomes.size());
+            }
+        }
+    }
+
     /** Servers that drop idle connections almost at once must not keep the decision thread sweeping and nothing else. */
     @Test
     void sweepsAreSpacedHoweverShortTheIdleTime() {
