Retry-After is never rounded to 0 s

Read: SessionHandler.answer wrote %.3f of the seconds; a max_retry_after under 500 us came out as 0.000, which says to come back at once. Change: 0.001 at least. ServeTest#aDenyOverTheBoundSaysWhenToComeBack has the case; it failed before with 0.000.

--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -34,6 +34,8 @@
  * the answer likewise.
  */
 final class SessionHandler implements AsyncServerExchangeHandler, Respondent {
+    /** In seconds, as precise as it is written: rounded to 0 it would say to come back at once. */
+    private static final double LEAST_AWAY = 0.001;
     private final ClientConnection.State connection;
     private final Frontend frontend;
     private final Pipe body = new Pipe();
@@ -164,7 +166,7 @@
                 respond(200, served.fields(), served.body());
             } else if (given instanceof Answer.Denied denied) {
                 respond(503, denied.retryAfter() <= 0 ? List.of() : List.of(new Field("Retry-After",
-                    String.format(Locale.ROOT, "%.3f", denied.retryAfter() / 1e6))), new byte[0]);
+                    String.format(Locale.ROOT, "%.3f", Math.max(LEAST_AWAY, denied.retryAfter() / 1e6)))), new byte[0]);
             } else if (given instanceof Answer.Failed failed) {
                 respond(failed.late() ? 504 : 502, List.of(), new byte[0]);
             } else if (given instanceof Answer.Rejected rejected) {
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -322,7 +322,11 @@
         Http denied = send("view");
         assertEquals(503, denied.status());
         assertEquals(null, denied.header("Retry-After"));
-        assertEquals(2, program.counter("sessions_over_limit"));
+        Files.writeString(program.config, text.replace("\"max_retry_after\":3000000", "\"max_retry_after\":400"));
+        program.signal("HUP");
+        await("taken", () -> program.counter("reloads") == 3);
+        assertEquals("not rounded to at once", "0.001", send("view").header("Retry-After"));
+        assertEquals(3, program.counter("sessions_over_limit"));
     }
 
     @Test
