One place says how long a denied client stays away; finish needs no winner

Read again after the review: Node.denied repeated Choice.giveUp's 'retryAfter ? maxRetryAfter : 0', now Limits.away() for both. Of finish's 'winner' only null was looked at since one dispatch is out at a time; an attempt that has begun to answer says the same by itself.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -361,7 +361,8 @@
         }
 
         private void await(long since) {
-            timeout = queue.after(since + patience - queue.now(), () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
+            timeout = queue.after(since + patience - queue.now(),
+                () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
         }
 
         /** Ends it if a body in pieces has not moved, though this side has something to move or waits for it. */
--- a/balancer/src/main/java/calicochute/decision/Balancer.java
+++ b/balancer/src/main/java/calicochute/decision/Balancer.java
@@ -48,7 +48,12 @@
 
     /** What the site permits. */
     record Limits(boolean cancel, boolean secondCopies, boolean probes, boolean peers, boolean retryAfter,
-                  int maxAttempts, int maxOpen, int streamsPerConnection, long connectTimeout, long maxRetryAfter) { }
+                  int maxAttempts, int maxOpen, int streamsPerConnection, long connectTimeout, long maxRetryAfter) {
+        /** How long a denied client is told to stay away; 0 where the site tells it nothing. */
+        public long away() {
+            return retryAfter ? maxRetryAfter : 0;
+        }
+    }
 
     /** The figures behind the rules on answers, drains, lists and cold starts. */
     record Rules(long answerSlack, long askEvery, double coldFrom, long warmUp, long drainGrace,
--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -104,7 +104,7 @@
         if (event instanceof AttemptEnded e) { attemptEnded(e); }
         if (event instanceof Timer e) { timer(e); }
         if (event instanceof BackendList e) { list(e); }
-        if (event instanceof ClientGone e) { finish(requests.get(e.request()), null); }
+        if (event instanceof ClientGone e) { finish(requests.get(e.request())); }
         if (event instanceof StreamStarted e) { streamStarted(e); }
         if (event instanceof BodyState e) { bodyState(e, requests.get(e.request())); }
         if (event instanceof Retuned e) { retune(e.settings()); }
@@ -123,7 +123,7 @@
         a.begun = true;
         answered(a, e.elapsed());
         if (!r.ended) { aim(r, 0); }
-        finish(r, a);
+        finish(r);
     }
 
     private void bodyState(BodyState e, Request r) {
@@ -187,7 +187,7 @@
         learn(a, e);
         if (e.finished() || r.ended) {
             if (!r.ended && e.outcome() == Outcome.OK) { aim(r, 0); }
-            finish(r, a);
+            finish(r);
         } else if (!r.out()) { retry(r, e.outcome()); }
     }
 
@@ -202,9 +202,10 @@
         giveUp(r);
     }
 
-    private void finish(Request r, Attempt winner) {
+    private void finish(Request r) {
         if (r == null) { return; }
-        if (!r.ended && winner == null && r.out()) { withdraw(r.attempts[r.sent - 1]); }
+        // One whose answer has begun goes on to its end.
+        if (!r.ended && r.out() && !r.attempts[r.sent - 1].begun) { withdraw(r.attempts[r.sent - 1]); }
         open -= r.ended ? 0 : 1;
         r.ended = true;
         if (!r.out()) { requests.remove(r.id); }
@@ -214,9 +215,8 @@
         // DANGER: full tables answer nothing: overload looks like rest. One of many is no overload.
         if (r.sent > 0 && r.firstThatMayHaveRun() == null) { aim(r, 1); }
         // DANGER: what overwhelms lasts for seconds; a client back sooner is served in place of a first try.
-        long away = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
-        if (mayRefuse(r)) { actions.refuse(r.id, away); } else { actions.fail(r.id); }
-        finish(r, null);
+        if (mayRefuse(r)) { actions.refuse(r.id, settings.limits().away()); } else { actions.fail(r.id); }
+        finish(r);
     }
 
     /** DANGER: a silent backend has only its attempts' age against it: keep that when they are withdrawn. */
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -6,7 +6,6 @@
 import calicochute.backend.DispatchListener;
 import calicochute.connection.Connector;
 import calicochute.decision.Balancer;
-import calicochute.decision.Balancer.Limits;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.Settings;
 import calicochute.decision.Handover;
@@ -254,7 +253,7 @@
         figures.taken();
         if (unanswered >= exchange.limits.maxOpen()) {
             counters.count(Counter.SESSIONS_OVER_LIMIT);
-            answer(exchange, denied(exchange.limits));
+            answer(exchange, new Answer.Denied(exchange.limits.away()));
             return;
         }
         if (!clientIds.add(exchange.clientId)) {
@@ -337,16 +336,12 @@
             return;
         }
         counters.count(Counter.SESSIONS_ENDED_BY_DEADLINE);
-        answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(true) : denied(exchange.limits));
+        answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(true)
+            : new Answer.Denied(exchange.limits.away()));
         tell(new Balancer.ClientGone(exchange.id));
         retire(exchange);
     }
 
-    /** Says when to come back, where the site has that. */
-    private static Answer denied(Limits limits) {
-        return new Answer.Denied(limits.retryAfter() ? limits.maxRetryAfter() : 0);
-    }
-
     private void answer(Exchange exchange, Answer answer) {
         if (exchange.answer(answer)) {
             counters.count(answer instanceof Answer.Served ? Counter.SESSIONS_SERVED
