Tests share one fleet, one request, one silent discovery and one check of ended connections

EdgeTest had MechanismTest's fleet and one again, LockstepTest a third round and a copy of all sixteen settings for the seed alone: now Fixture.fleet, Fixture.one and a seed in Fixture.settings. OneServer and UpgradeTest made the same silent discovery: Peer.silent. BadLinkTest.over was Program.ended.

--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -1,7 +1,7 @@
 package calicochute.decision;
 
 import static calicochute.decision.Fixture.SECOND;
-import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.fleet;
 import static calicochute.decision.Fixture.requestClass;
 import static calicochute.decision.Fixture.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -23,6 +23,7 @@
 import calicochute.decision.Track.Seen;
 import calicochute.decision.Track.Server;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,24 +41,16 @@
     private static final RequestClass REPEATABLE = requestClass(Effect.REPEATABLE, KeyScope.ALL);
     private long nextRequest = 1;
 
-    private static Backend[] fleet(int size, long startedAt) {
-        Backend[] fleet = new Backend[size];
-        for (int i = 0; i < size; i++) {
-            fleet[i] = Fixture.with(backend("b" + i, "z", i), BackendState.READY, startedAt);
-        }
-        return fleet;
+    private static Backend[] startedAt(long at, Backend... fleet) {
+        return Arrays.stream(fleet).map(b -> Fixture.with(b, BackendState.READY, at)).toArray(Backend[]::new);
     }
 
     private String one(Fixture f, Outcome outcome, long elapsed) {
-        f.arrive(nextRequest++, 4 * SECOND);
-        f.now += elapsed;
-        String backend = f.lastBackend();
-        f.outcome(0, outcome, elapsed);
-        return backend;
+        return f.one(nextRequest++, outcome, elapsed);
     }
 
     private Fixture steady(int servers) {
-        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list(fleet(servers, 0));
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list(fleet(servers));
         for (int i = 0; i < 40 * servers; i++) {
             one(f, Outcome.OK, 100_000);
         }
@@ -82,7 +75,7 @@
     @Test
     void anAimOfNothingLeavesAdmissionAtWork() {
         RequestClass none = new RequestClass("c", Effect.REPEATABLE, KeyScope.ALL, 0, 0, 4 * SECOND, 1, 0.5, false);
-        Fixture f = new Fixture(settings(List.of(none), Fixture.LIMITS)).list(fleet(3, 0));
+        Fixture f = new Fixture(settings(List.of(none), Fixture.LIMITS)).list(fleet(3));
         one(f, Outcome.OK, 0);
         for (int i = 0; i < 80; i++) {
             one(f, Outcome.OK, 3 * SECOND);
@@ -141,7 +134,7 @@
             assertEquals(100_000, seen.latency, 1);
         }
         Fixture asks = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS, true, 0, 1));
-        asks.list(ListKind.RESTORED, fleet(1, 0));
+        asks.list(ListKind.RESTORED, fleet(1));
         for (int i = 0; i < 100; i++) {
             asks.list(ListKind.UNAVAILABLE);
         }
@@ -153,7 +146,7 @@
     void aTierThatIsColdAsAWholeIsServedByLittles() {
         Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL);
         long from = f.now;
-        f.list(fleet(6, from));
+        f.list(startedAt(from, fleet(6)));
         Map<String, Integer> sent = new HashMap<>();
         for (int i = 0; i < 400; i++) {
             int before = f.sent.size();
@@ -206,12 +199,12 @@
         Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list();
         f.arrive(1, SECOND);
         assertTrue(f.sent.isEmpty());
-        f.list(fleet(1, 0));
+        f.list(fleet(1));
         f.pass(f.now + 100_000);
         assertEquals(1, f.sent.size());
         f.outcome(0, Outcome.OK, 100_000);
         f.list();
-        f.list(fleet(5, 0));
+        f.list(fleet(5));
         nextRequest = 2;
         for (int i = 0; i < 400; i++) {
             one(f, Outcome.ERROR, 10_000);
@@ -246,7 +239,7 @@
             f.pass(f.now);
             switch (random.nextInt(10)) {
                 case 0 -> f.list(random.nextBoolean() ? ListKind.FULL : ListKind.UNAVAILABLE,
-                    fleet(random.nextInt(16), random.nextBoolean() ? 0 : f.now));
+                    startedAt(random.nextBoolean() ? 0 : f.now, fleet(random.nextInt(16))));
                 case 1 -> {
                     classes.add(new RequestClass("new" + i, Effect.REPEATABLE, KeyScope.ALL, 0, 1, 1, 1, 0, false));
                     f.on(new Retuned(settings(classes, Fixture.LIMITS)));
--- a/balancer/src/test/java/calicochute/decision/Fixture.java
+++ b/balancer/src/test/java/calicochute/decision/Fixture.java
@@ -55,7 +55,11 @@
     }
 
     static Settings settings(List<RequestClass> classes, Limits limits, boolean subscribes, int me, int balancers) {
-        return new Settings(42, me, balancers, 0, true, subscribes, true, "z", 5_000, 0.1, List.of(), classes, List.of(),
+        return settings(42, classes, limits, subscribes, me, balancers);
+    }
+
+    static Settings settings(long seed, List<RequestClass> classes, Limits limits, boolean subscribes, int me, int balancers) {
+        return new Settings(seed, me, balancers, 0, true, subscribes, true, "z", 5_000, 0.1, List.of(), classes, List.of(),
             limits, RULES, new Goal(1, 0, 0, 0, 0, 0, 0));
     }
 
@@ -71,6 +75,15 @@
         return new Backend(b.id(), b.zone(), b.cell(), b.weight(), state, startedAt, b.kind());
     }
 
+    /** So many alike, started long ago, each in a cell of its own. */
+    static Backend[] fleet(int size) {
+        Backend[] fleet = new Backend[size];
+        for (int i = 0; i < size; i++) {
+            fleet[i] = backend("b" + i, "z", i);
+        }
+        return fleet;
+    }
+
     Fixture list(Backend... entries) {
         return list(ListKind.FULL, entries);
     }
@@ -98,6 +111,15 @@
         on(new AttemptEnded(last.request, number, last.backend, outcome == Outcome.OK, outcome, elapsed, null));
     }
 
+    /** Sends one request and ends it as told; the backend that got it. */
+    String one(long request, Outcome outcome, long elapsed) {
+        arrive(request, 4 * SECOND);
+        now += elapsed;
+        String backend = lastBackend();
+        outcome(0, outcome, elapsed);
+        return backend;
+    }
+
     /** Answers the request that has waited longest. */
     void answerOldest() {
         while (answered < sent.size() && !open.remove(sent.get(answered).request)) {
--- a/balancer/src/test/java/calicochute/decision/LockstepTest.java
+++ b/balancer/src/test/java/calicochute/decision/LockstepTest.java
@@ -1,7 +1,7 @@
 package calicochute.decision;
 
 import static calicochute.decision.Fixture.SECOND;
-import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.fleet;
 import static calicochute.decision.Fixture.requestClass;
 import static calicochute.decision.Fixture.with;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,12 +12,10 @@
 import calicochute.decision.Balancer.Effect;
 import calicochute.decision.Balancer.KeyScope;
 import calicochute.decision.Balancer.Outcome;
-import calicochute.decision.Balancer.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToLongFunction;
 import org.junit.jupiter.api.Test;
 
 /** Many balancers in one virtual time, on the same events: how much of what they do falls on one server in one tick. */
@@ -28,38 +26,18 @@
     private final List<Fixture> all = new ArrayList<>();
     private long nextRequest = 1;
 
-    private static Settings settings(int me, long seed) {
-        Settings s = Fixture.settings(List.of(requestClass(Effect.REPEATABLE, KeyScope.ALL)), Fixture.LIMITS, true, me, BALANCERS);
-        return new Settings(seed, s.me(), s.balancers(), s.tier(), s.passesDeadline(), s.subscribes(), s.marksRetries(),
-            s.zone(), s.tick(), s.overShareWorth(), s.reportFields(), s.classes(), s.tenants(), s.limits(), s.rules(), s.goal());
-    }
-
-    private static Backend[] fleet(long startedAt) {
-        Backend[] fleet = new Backend[SERVERS];
-        for (int i = 0; i < SERVERS; i++) {
-            fleet[i] = with(backend("b" + i, "z", i), BackendState.READY, i == 0 ? startedAt : 0);
-        }
-        return fleet;
-    }
-
     /** Balancers that have learnt the same: forty answers of each server, all alike. */
     private void learnt(boolean seedsDiffer) {
         for (int me = 0; me < BALANCERS; me++) {
-            Fixture f = new Fixture(settings(me, seedsDiffer ? 1000 + me : 42)).list(fleet(0));
+            Fixture f = new Fixture(Fixture.settings(seedsDiffer ? 1000 + me : 42,
+                List.of(requestClass(Effect.REPEATABLE, KeyScope.ALL)), Fixture.LIMITS, true, me, BALANCERS)).list(fleet(SERVERS));
             for (int i = 0; i < 40 * SERVERS; i++) {
-                round(f, b -> 100_000);
+                f.one(nextRequest++, Outcome.OK, 100_000);
             }
             all.add(f);
         }
     }
 
-    private void round(Fixture f, ToLongFunction<String> latency) {
-        f.arrive(nextRequest++, 4 * SECOND);
-        long took = latency.applyAsLong(f.lastBackend());
-        f.now += took;
-        f.outcome(0, Outcome.OK, took);
-    }
-
     /** One session at each, in the same tick; the greatest share that one server gets. */
     private double greatestShare(long left) {
         Map<String, Integer> got = new HashMap<>();
@@ -107,11 +85,13 @@
     @Test
     void aReturningServerIsNotMetByAllInOneTick() {
         learnt(true);
+        Backend[] listed = fleet(SERVERS);
         long from = all.stream().mapToLong(f -> f.now).max().orElseThrow() + SECOND;
+        listed[0] = with(listed[0], BackendState.READY, from);
         Map<Long, Integer> perTick = new HashMap<>();
         for (Fixture f : all) {
             f.now = from;
-            f.list(fleet(from));
+            f.list(listed);
         }
         int sent = 0;
         for (long at = from; at < from + SECOND; at += 10 * TICK) {
--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/balancer/src/test/java/calicochute/decision/MechanismTest.java
@@ -2,6 +2,7 @@
 
 import static calicochute.decision.Fixture.SECOND;
 import static calicochute.decision.Fixture.backend;
+import static calicochute.decision.Fixture.fleet;
 import static calicochute.decision.Fixture.requestClass;
 import static calicochute.decision.Fixture.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -27,21 +28,8 @@
     private static final RequestClass REPEATABLE = requestClass(Effect.REPEATABLE, KeyScope.ALL);
     private long nextRequest = 1;
 
-    private static Backend[] fleet(int size) {
-        Backend[] fleet = new Backend[size];
-        for (int i = 0; i < size; i++) {
-            fleet[i] = backend("b" + i, "z", i);
-        }
-        return fleet;
-    }
-
-    /** Sends one request and ends it as told; the backend that got it. */
     private String one(Fixture f, Outcome outcome, long elapsed) {
-        f.arrive(nextRequest++, 4 * SECOND);
-        f.now += elapsed;
-        String backend = f.lastBackend();
-        f.outcome(0, outcome, elapsed);
-        return backend;
+        return f.one(nextRequest++, outcome, elapsed);
     }
 
     private static double speed(Fixture f, String backend) {
--- a/balancer/src/test/java/calicochute/process/BadLinkTest.java
+++ b/balancer/src/test/java/calicochute/process/BadLinkTest.java
@@ -147,14 +147,13 @@
             assertEquals(outcome + " " + lane, lane.equals("order") ? 502 : 200, status);
             assertTrue(good.requests.size() > served || lane.equals("order"));
         }
-        await("no connection left to the bad one", () -> held.stream().allMatch(BadLinkTest::over));
+        checkNoneIsLeft();
     }
 
-    private static boolean over(Socket socket) {
-        try {
-            return socket.isClosed() || socket.getInputStream().read() < 0;
-        } catch (Exception e) {
-            return true;
+    /** The program has ended each connection to the bad server that the server had not ended itself. */
+    private void checkNoneIsLeft() throws Exception {
+        for (Socket socket : held) {
+            assertTrue(socket.isClosed() || Program.ended(socket));
         }
     }
 
@@ -212,7 +211,7 @@
         }
         assertEquals(1, late);
         assertEquals(1, program.counter("dispatches_timed_out"));
-        await("closed", () -> held.stream().allMatch(BadLinkTest::over));
+        checkNoneIsLeft();
     }
 
     /** Answers on a connection that keeps its word, with the close right behind the answer: no session pays for the race. */
--- a/balancer/src/test/java/calicochute/process/OneServer.java
+++ b/balancer/src/test/java/calicochute/process/OneServer.java
@@ -15,10 +15,7 @@
 
     @Before
     public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
+        discovery = Peer.silent(release);
         server = new Peer(r -> Http.answer(200, "", "a map"));
         program = program();
     }
--- a/balancer/src/test/java/calicochute/process/Peer.java
+++ b/balancer/src/test/java/calicochute/process/Peer.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 
 /** A backend server or discovery as the program meets it: a scripted answer to each request on real sockets. */
 final class Peer implements AutoCloseable {
@@ -39,6 +40,14 @@
         });
     }
 
+    /** One that holds back its answers until it is let go, and then has none: a discovery with nothing to tell. */
+    static Peer silent(CountDownLatch release) throws IOException {
+        return new Peer(r -> {
+            release.await();
+            return null;
+        });
+    }
+
     String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
--- a/balancer/src/test/java/calicochute/process/UpgradeTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeTest.java
@@ -26,10 +26,7 @@
 
     @Before
     public void start() throws Exception {
-        discovery = new Peer(r -> {
-            release.await();
-            return null;
-        });
+        discovery = Peer.silent(release);
         server = new Peer(r -> Http.answer(200, "", "a map"));
         platform = new Platform();
     }
