Lab: a run ends only when no caller of any tier waits for an answer any more

The balancer of that test is the scripted stand-in, not calicochute. Cause: Emulation.awaitEnd looked at the clients only; a front server whose client has had its 502 still waits for the tier behind, and stopBalancers' SIGTERM ends the script with that session open. 7.496 s is one look (50 ms) after the last client's end. The program itself drains at SIGTERM, so only the script was accused.

Change: Site.awaited counts the calls of all tiers; at the clients' end servers make no further calls (Site.closing), and the run ends when none is awaited.

--- a/lab/src/main/java/calicochute/lab/emulator/Caller.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Caller.java
@@ -83,6 +83,7 @@
         }
 
         void start() {
+            site.awaited++;
             overdue = site.world.at(deadline + ANSWER_SLACK, this::overdue);
             site.world.after(delay, () -> begin(true));
         }
@@ -150,8 +151,7 @@
                 pause = Math.round(Double.parseDouble(retryAfter) * 1e6);
             }
             Result result = new Result(End.ANSWERED, answer.status(), pause, answer.text());
-            done = true;
-            overdue.cancel();
+            settled();
             site.world.after(delay, () -> end.accept(result));
         }
 
@@ -184,11 +184,16 @@
 
         private void finish(Result result) {
             if (!done) {
-                done = true;
-                overdue.cancel();
+                settled();
                 end.accept(result);
             }
         }
+
+        private void settled() {
+            done = true;
+            site.awaited--;
+            overdue.cancel();
+        }
     }
 
     @Override
--- a/lab/src/main/java/calicochute/lab/emulator/Site.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Site.java
@@ -30,6 +30,10 @@
     final Referee referee;
     final Map<String, Request> requests = new HashMap<>();
     final Set<String> cutZones = new HashSet<>();
+    /** Requests of all tiers whose caller still waits, those of clients as well as those of servers. */
+    int awaited;
+    /** No client waits any more and none will: servers make no further calls. */
+    boolean closing;
     private final UniformRandomProvider ids;
     private final byte[] network;
     private int lastHost;
