A long body's taken piece is not lost when its kept connection ends before a byte is out

Read: BackendServers.Errand.replied makes a call again on another connection if none of its bytes went out (Reply.begun, Call.end: sent > 0). For a body in pieces that is not enough: Call.produce takes pieces out of the pipe into HttpCore's buffer, and where the server's reset came between the look at the connection and the write, no byte is counted but the pieces are gone. The next call sends the rest as if it were the whole: a chunked message without its beginning, or one that stands still until the time-out.

Ruled out for bodies kept whole: each call wraps them anew. Change: what was taken counts as begun; the session then ends as not sent (CONNECT_FAILED and spent), with Retry-After where rules allow.

--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -198,8 +198,10 @@
     private void end() {
         if (ended.compareAndSet(false, true)) {
             wrote();
-            long sent = endpoint.getSentBytesCount() - sentBefore;
-            listener.ended(new Reply(whole ? response : null, begun || !whole ? new byte[0] : answer.all(), sent > 0,
+            // Pieces that were taken are gone even if none of their bytes went out: a call made again would lack them.
+            boolean gone = body instanceof Body.Streamed streamed && streamed.pipe().taken();
+            boolean sent = gone || endpoint.getSentBytesCount() > sentBefore;
+            listener.ended(new Reply(whole ? response : null, begun || !whole ? new byte[0] : answer.all(), sent,
                 writtenTold.get(), whole && reusable && produced));
             if (!whole) {
                 // Only now: whoever passes the answer on hears of the cut after it is known that the server made it.
