Operators' calls and lists are read as strict JSON; names and numbers that wrap are refused in lists

ServerList.parse also looked up host names, on the decision thread. A name costs a plain error now, counted as discovery_malformed.

At fault: Gson's lenient JsonParser.parseString in admin.Call and discovery.ServerList; Configuration.address there. Change: both read through settings.Document.parse (the strict reader that settings had), numbers within 2^53. Ruled out: deep nesting (100,000 brackets), a list cut at every byte, null fields: each was a plain error before and is one now.

--- a/balancer/src/main/java/calicochute/admin/Call.java
+++ b/balancer/src/main/java/calicochute/admin/Call.java
@@ -1,9 +1,8 @@
 package calicochute.admin;
 
+import calicochute.settings.Document;
+import calicochute.settings.SettingsException;
 import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.util.Map;
 
 /** One call of an operator, read from a request; without I/O. */
@@ -48,13 +47,12 @@
 
     private static Call host(String name, String body) {
         try {
-            JsonElement root = JsonParser.parseString(body);
-            JsonElement host = root instanceof JsonObject object ? object.get("host") : null;
+            JsonElement host = Document.parse(body).root().get("host");
             if (host != null && host.isJsonPrimitive() && host.getAsJsonPrimitive().isString()) {
                 return name.equals("cordon") ? new Cordon(host.getAsString()) : new Uncordon(host.getAsString());
             }
-        } catch (JsonParseException e) {
-            return new Wrong(400, "the body is not JSON");
+        } catch (SettingsException e) {
+            return new Wrong(400, e.getMessage());
         }
         return new Wrong(400, "the body is not {\"host\":\"ID\"}");
     }
--- a/balancer/src/main/java/calicochute/discovery/ServerList.java
+++ b/balancer/src/main/java/calicochute/discovery/ServerList.java
@@ -3,24 +3,28 @@
 import calicochute.decision.Balancer.Backend;
 import calicochute.decision.Balancer.BackendState;
 import calicochute.settings.Configuration;
+import calicochute.settings.Document;
 import calicochute.settings.SettingsException;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.hc.core5.net.InetAddressUtils;
 
 /** One answer of discovery: a whole list or the changes since the last, with the servers' addresses. */
 public record ServerList(long generation, boolean whole, List<Backend> entries,
                          Map<String, InetSocketAddress> addresses) {
+    /** Numbers beyond it turn over once they are microseconds. */
+    private static final BigDecimal GREATEST = BigDecimal.valueOf(1L << 53);
+
     /** Reads discovery's JSON; anything else is refused as a whole. */
     public static ServerList parse(String json) throws SettingsException {
         try {
-            JsonObject root = JsonParser.parseString(json).getAsJsonObject();
+            JsonObject root = Document.parse(json).root();
             List<Backend> entries = new ArrayList<>();
             Map<String, InetSocketAddress> addresses = new HashMap<>();
             for (JsonElement element : root.getAsJsonArray("instances")) {
@@ -28,20 +32,37 @@
                 String id = o.get("instanceId").getAsString();
                 BackendState state = state(o.get("lifecycle").getAsString());
                 if (state != BackendState.GONE) {
-                    addresses.put(id, Configuration.address("hostPort", o.get("hostPort").getAsString()));
+                    addresses.put(id, address(o.get("hostPort").getAsString()));
                 }
                 entries.add(new Backend(id, text(o, "zone"), o.has("cell") ? o.get("cell").getAsInt() : 0,
                     o.has("weight") ? o.get("weight").getAsDouble() : 1, state,
-                    o.has("startedAtMs") ? o.get("startedAtMs").getAsLong() * 1000 : 0, text(o, "machineType")));
+                    o.has("startedAtMs") ? number(o, "startedAtMs") * 1000 : 0, text(o, "machineType")));
             }
-            return new ServerList(root.get("generation").getAsLong(), root.get("reset").getAsBoolean(), entries,
+            return new ServerList(number(root, "generation"), root.get("reset").getAsBoolean(), entries,
                 addresses);
-        } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
+        } catch (IllegalStateException | ClassCastException | NumberFormatException
                  | UnsupportedOperationException | NullPointerException e) {
             throw new SettingsException("not a list of instances: " + e.getMessage());
         }
     }
 
+    /** Guards against a name lookup on the decision thread, however long that takes: lists hold numbers, never names. */
+    private static InetSocketAddress address(String text) throws SettingsException {
+        String host = text.substring(0, Math.max(0, text.lastIndexOf(':')));
+        if (!InetAddressUtils.isIPv4(host) && !InetAddressUtils.isIPv6URLBracketed(host)) {
+            throw new SettingsException("hostPort is not a numeric address and a port: '" + text + "'");
+        }
+        return Configuration.address("hostPort", text);
+    }
+
+    private static long number(JsonObject from, String name) throws SettingsException {
+        BigDecimal number = from.get(name).getAsBigDecimal();
+        if (number.abs().compareTo(GREATEST) > 0) {
+            throw new SettingsException(name + " is over " + GREATEST + ": " + number);
+        }
+        return number.longValue();
+    }
+
     private static String text(JsonObject from, String name) {
         return from.has(name) ? from.get(name).getAsString() : "";
     }
--- a/balancer/src/test/java/calicochute/process/AdminTest.java
+++ b/balancer/src/test/java/calicochute/process/AdminTest.java
@@ -40,6 +40,9 @@
         assertEquals(400, admin("POST cordon", "{\"host\":"));
         assertEquals(400, admin("POST cordon", "{\"host\":7}"));
         assertEquals(400, admin("POST uncordon", "[]"));
+        assertEquals("no JSON, though a lenient reader takes it", 400, admin("POST cordon", host(server).replace('"', '\'')));
+        assertEquals(400, admin("POST cordon", host(server) + "// and more"));
+        assertEquals(0, program.figure("members_unavailable"));
         assertEquals(404, admin("POST cordon", "{\"host\":\"never-listed\"}"));
         assertEquals(404, admin("POST uncordon", "{\"host\":\"never-listed\"}"));
         assertEquals("close", program.admin("GET health", "").header("Connection"));
