A target goes on as it came, and what can't be read behind a head is counted

Seen (36 raw requests against the program, before): "GET //evil/api" reached the server as "GET /api" and "///e/a" as "/e/a", for HttpCore's BasicHttpRequest(method, target) reads a URI out of it, in RequestGuard's parser and again in BackendServers.request; "GET foo" and "GET *" were sent on with no path. A chunk size of -5, one over 64 bits, a chunk line of 9,000 bytes and 200 trailers ended the connection as they should, but no counter moved (sessions_bad_input 7 of 11 refusals). Ruled out: a crash or a fault (module_faults 0, invariants_broken 0, the next client was served), bytes let through (the server got none of the refused).

Change: a target that begins with / is kept raw on both sides, a whole URL is reduced to its path as before, anything else is a 400. ClientConnection.exception counts an end that the client's bytes brought about, once; a client that is gone is none. Left alone: NUL and CR within a field's value reach us as spaces (HttpCore), and go on so. Tests: BadClientTest.targetsAreNotTakenApart, chunksThatCannotBeReadAreCounted; both failed before.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -229,7 +229,8 @@
     }
 
     private static HttpRequest request(Message message, long timeout) {
-        HttpRequest request = new BasicHttpRequest(message.method(), message.target());
+        // The target as it came, not taken apart for a host.
+        HttpRequest request = new BasicHttpRequest(message.method(), null, null, message.target());
         for (Field field : message.fields()) {
             request.addHeader(field.name(), field.value());
         }
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -3,11 +3,14 @@
 import calicochute.metrics.Counter;
 import calicochute.settings.Bounds;
 import java.io.IOException;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.IllegalBlockingModeException;
 import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
@@ -143,6 +146,7 @@
 
     private final State state;
     private boolean ended;
+    private boolean spoilt;
 
     private ClientConnection(State state, Callback<Exception> onFault) {
         super(new ServerHttp1StreamDuplexerFactory(PROCESSOR, (request, context) -> {
@@ -195,6 +199,17 @@
         }
     }
 
+    /** What can't be read behind a head has no answer to come in: the connection ends, with a count. A client that is gone is none. */
+    @Override
+    public void exception(IOSession session, Exception cause) {
+        if (state.receiving && !spoilt && !(cause instanceof SocketException || cause instanceof ClosedChannelException
+            || cause instanceof ConnectionClosedException)) {
+            spoilt = true;
+            state.frontend.counters().count(Counter.SESSIONS_BAD_INPUT);
+        }
+        super.exception(session, cause);
+    }
+
     @Override
     public void timeout(IOSession session, Timeout timeout) throws IOException {
         if (state.frontend.endsIdle() && bytesWait()) {
--- a/balancer/src/main/java/calicochute/frontend/RequestGuard.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestGuard.java
@@ -8,10 +8,13 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpRequestFactory;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.reactor.EventMask;
@@ -20,8 +23,16 @@
 final class RequestGuard implements NHttpMessageParser<HttpRequest> {
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
     private static final int HEAD_LIMIT = 2 * Bounds.LINE;
+    /** A path as it came: HttpCore's own factory takes the first part of one that begins with // for a host, and leaves it out. */
+    private static final HttpRequestFactory<HttpRequest> AS_IT_CAME = new DefaultHttpRequestFactory() {
+        @Override
+        public HttpRequest newHttpRequest(String method, String target) {
+            return target.startsWith("/") ? new BasicHttpRequest(method, null, null, target)
+                : super.newHttpRequest(method, target);
+        }
+    };
     private final NHttpMessageParser<HttpRequest> parser =
-        new DefaultHttpRequestParserFactory(ClientConnection.LIMITS).create();
+        new DefaultHttpRequestParserFactory(ClientConnection.LIMITS, AS_IT_CAME, null).create();
     private final ClientConnection.State state;
     private int headBytes;
 
@@ -74,6 +85,9 @@
      * take what is left for a request of its own.
      */
     private static void check(HttpRequest request) throws ProtocolException {
+        if (!request.getPath().startsWith("/") || request.getScheme() != null && request.getAuthority() == null) {
+            throw new ProtocolException("the target is neither a path nor a URL");
+        }
         Header[] lengths = request.getHeaders("Content-Length");
         Header[] codings = request.getHeaders("Transfer-Encoding");
         if (lengths.length + codings.length > 1) {
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -66,6 +66,40 @@
         assertEquals(5, program.counter("sessions_bad_input"));
     }
 
+    /** A target goes on as it came: nothing of a path is taken for a host, and what is no path is refused. */
+    @Test
+    public void targetsAreNotTakenApart() throws Exception {
+        for (String path : List.of("//evil/api", "///a/b", "//", "/a:b//c;d", "/%zz%00?x=//y")) {
+            assertEquals(path, 200, program.send(VIEW.replace("/api?q=1", path)).status());
+            assertEquals("GET " + path + " HTTP/1.1", server.requests.get(server.requests.size() - 1).firstLine());
+        }
+        for (String target : List.of("api", "*", "a:b")) {
+            assertEquals(target, 400, raw(VIEW.replace("/api?q=1", target) + "\r\n"));
+        }
+    }
+
+    /** Chunks that can't be read, behind a head that can: no answer, but the connection's end and a count. */
+    @Test
+    public void chunksThatCannotBeReadAreCounted() throws Exception {
+        List<String> bodies = List.of("-5\r\nhello\r\n", "ffffffffffffffff\r\n", "five\r\n", "5;" + "a".repeat(9000),
+            "5\r\nhello\r\n0\r\n" + "X-T: y\r\n".repeat(200), "5\r\nhelloo\r\n");
+        for (String body : bodies) {
+            try (Socket socket = program.connect()) {
+                socket.getOutputStream().write((SCAN + "Transfer-Encoding: chunked\r\n\r\n" + body + "\r\n").getBytes(
+                    StandardCharsets.US_ASCII));
+                assertTrue(Program.ended(socket));
+            }
+        }
+        assertEquals(bodies.size(), program.counter("sessions_bad_input"));
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write((SCAN + "Transfer-Encoding: chunked\r\n\r\n5\r\nhe").getBytes(
+                StandardCharsets.US_ASCII));
+            socket.setSoLinger(true, 0);
+        }
+        assertEquals(0, server.requests.size());
+        assertEquals("who goes has not sent bad input", bodies.size(), program.counter("sessions_bad_input"));
+    }
+
     /** Refused at the head: the client has not sent a byte of its body yet. */
     @Test
     public void aBodyThatWouldBeTooLongIsRefusedUnread() throws Exception {
