Tests for three faults put in by hand that no test caught: old generation, guard kept, copy on wake-up

(1) Discovery.watched keeps the old generation: the watch asks for what it has heard, in a tight loop where discovery answers at once. (2) Node neither in answer nor in retire calls off the deadline's alarm: no answer changes, but exchange and body are held until the deadline (up to an hour): 800 sessions of 60 kB end a 24 MB heap. (3) Choice.noCopyOut and the timer's own look both gone: a second wake-up sends a copy.

No code of the program.

--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -194,6 +194,18 @@
         assertTrue(f.said.stream().filter(s -> s.startsWith("refuse")).count() >= 10, "refused over the limit");
     }
 
+    /** A wake-up that comes while a dispatch is out, such as one set before it, sends no copy beside it. */
+    @Test
+    void aWakeUpWhileOneIsOutSendsNoCopy() {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list();
+        f.arrive(1, 4 * SECOND);
+        Balancer.Timer held = f.timers.get(f.timers.size() - 1).timer();
+        f.list(fleet(3));
+        f.on(held);
+        f.on(held);
+        assertEquals(1, f.sent.size());
+    }
+
     @Test
     void noServerAndOneAndAllAtTheFloor() {
         Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list();
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -105,6 +105,35 @@
         assertEquals(2, server.requests.size());
     }
 
+    /** The next call for changes names the version just heard, not the one it was asked with. */
+    @Test
+    public void theWatchGoesOnFromWhatItHasHeard() throws Exception {
+        program.stop();
+        discovery.requests.clear();
+        discovery.script = r -> {
+            if (r.firstLine().contains("since=1&")) {
+                return Http.answer(200, "", list(7, "Ready", server));
+            }
+            release.await();
+            return null;
+        };
+        program = program();
+        await("heard", () -> discovery.requests.size() >= 2);
+        assertTrue(discovery.requests.get(1).firstLine(), discovery.requests.get(1).firstLine().contains("since=7&"));
+    }
+
+    /** What a session held goes with its answer, however long its client would have waited: twice the heap passes through. */
+    @Test
+    public void anAnsweredSessionIsLetGo() throws Exception {
+        program.stop();
+        program = Program.withHeap("24m", discovery, server);
+        for (int i = 0; i < 800; i++) {
+            assertEquals(200, program.send(session(String.format("%016x", i), "scan").replace(": 8000", ": 3600000"),
+                new byte[60_000]).status());
+        }
+        assertFalse(program.log(), program.log().contains("OutOfMemory"));
+    }
+
     /** One for the sessions; beside it a spare may be opened, if one met the connection before it had rested. */
     @Test
     public void connectionsAreKept() throws Exception {
