An answer cut short in its status line is no longer served as a 200 with an empty body

Ruled out: an answer read by the wrong session, a body cut behind its head (HttpCore notices), the frontend's two threads in produce. Then read: AnswerGuard.parse told HttpCore's parser of the connection's end, and at an end that parser takes what has come for the whole head. Cut behind "HTTP/1.1 200" there is a status line and no length, so the body is what follows up to the end: nothing. Shown by BadServerTest.anAnswerCutShortIsNone, which ends the connection behind each byte: "cut behind byte 12 expected:<502> but was:<200>".

Change: the parser is never told of the end; a head that is under way then is an error (RESET: it may have run). The request side was tried the same way and needs nothing: a head cut at any line was no session before either.

--- a/balancer/src/main/java/calicochute/connection/AnswerGuard.java
+++ b/balancer/src/main/java/calicochute/connection/AnswerGuard.java
@@ -1,6 +1,7 @@
 package calicochute.connection;
 
 import java.io.IOException;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
@@ -14,6 +15,8 @@
     private final NHttpMessageParser<HttpResponse> parser =
         new DefaultHttpResponseParserFactory(Connector.LIMITS).create();
     private final Connection connection;
+    /** Some of a head has come, and not its end. */
+    private boolean midway;
 
     AnswerGuard(Connection connection) {
         this.connection = connection;
@@ -21,6 +24,7 @@
 
     @Override
     public void reset() {
+        midway = false;
         parser.reset();
     }
 
@@ -31,8 +35,15 @@
             connection.spoil();
             throw new ProtocolException("bytes that no call awaits");
         }
-        HttpResponse response = parser.parse(buffer, endOfStream);
+        // Guards against an answer cut short in its head: told of the end, HttpCore takes what has come for all of the head, and a
+        // status line alone for a 200 with an empty body.
+        midway |= buffer.hasData();
+        HttpResponse response = parser.parse(buffer, false);
+        if (response == null && endOfStream && midway) {
+            throw new ConnectionClosedException("answer cut short in its head");
+        }
         if (response != null) {
+            midway = false;
             Header[] lengths = response.getHeaders("Content-Length");
             if (lengths.length + response.countHeaders("Transfer-Encoding") > 1) {
                 throw new ProtocolException("more than one length");
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -122,4 +122,14 @@
         assertEquals(200, order(GOOD).status());
         assertEquals(2, server.connections.size());
     }
+
+    /** An answer that breaks off behind any of its bytes is never taken for a whole one. */
+    @Test
+    public void anAnswerCutShortIsNone() throws Exception {
+        server.endsBehind = true;
+        for (int bytes = 1; bytes < GOOD.length(); bytes++) {
+            assertEquals("cut behind byte " + bytes, 502, order(GOOD.substring(0, bytes)).status());
+        }
+        assertEquals(200, order(GOOD).status());
+    }
 }
--- a/balancer/src/test/java/calicochute/process/Peer.java
+++ b/balancer/src/test/java/calicochute/process/Peer.java
@@ -22,6 +22,8 @@
     volatile Script script;
     /** Connections beyond this many are ended as they come up. */
     volatile int mostConnections = Integer.MAX_VALUE;
+    /** Each connection is ended behind its first answer, whether that is whole or not. */
+    volatile boolean endsBehind;
     private final ServerSocket listener;
 
     Peer(Script script) throws IOException {
@@ -62,6 +64,9 @@
                     return;
                 }
                 socket.getOutputStream().write(answer);
+                if (endsBehind) {
+                    return;
+                }
             }
             ended.add(socket);
         } catch (IOException e) {
