--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/balancer/src/test/java/calicochute/decision/MechanismTest.java
@@ -564,6 +564,9 @@
         next.list(fleet);
         Handover.recall(next.choice, learnt, next.now, 100_000);
         assertEquals(learnt.servers().get("b1").speed(), speed(next, "b1"));
+        Fixture late = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS)).list(fleet(3));
+        Handover.recall(late.choice, learnt, late.now, 100 * SECOND);
+        assertEquals(late.choice.typical, late.choice.effective(late.choice.servers.get("b1")), 0.01, "mostly forgotten since");
         assertTrue(!next.choice.servers.get("b2").polled, "started since: not the server that was known");
         int slow = 0;
         for (int i = 0; i < 50; i++) {
