Messages cut short within a line are no longer taken for whole ones, on either side

Seen, with the connection ended behind each byte in turn (tests, before): a head cut behind "X-Remaining-Ms: 8" of 8000 became a session of 8 ms (BadClientTest.aHeadCutShortIsNoSession, byte 119); a chunked body cut behind the zero of "02" counted as ended there: a session with an empty body was taken (aBodyCutShortIsNoSession, byte 1) and an answer "a " of "a map" was served as whole (BadServerTest.anAnswerCutShortIsNone, byte 48 on).

Checked: Content-Length bodies and chunk data cut anywhere were errors before.

Change: framing.UncutLines, between HttpCore's buffer and its body decoders on both sides, gives lines only where they have come whole; RequestGuard's parser is told of no end, as AnswerGuard's. The duplexers are made by hand for it, with what their factories put in by default.

--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -1,16 +1,25 @@
 package calicochute.connection;
 
+import calicochute.framing.UncutLines;
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ReadableByteChannel;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
@@ -75,8 +84,15 @@
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         session.setSocketTimeout(Timeout.DISABLED);
         Connection connection = (Connection) attachment;
-        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexerFactory(PROCESSOR, LIMITS,
-            CharCodingConfig.DEFAULT, null, () -> new AnswerGuard(connection), null, null).create(session)) {
+        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(session, PROCESSOR, LIMITS, CharCodingConfig.DEFAULT,
+            DefaultConnectionReuseStrategy.INSTANCE, new AnswerGuard(connection), DefaultHttpRequestWriterFactory.INSTANCE.create(),
+            DefaultContentLengthStrategy.INSTANCE, DefaultContentLengthStrategy.INSTANCE, null) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel from, SessionInputBuffer buffer,
+                                                          BasicHttpTransportMetrics metrics) throws HttpException {
+                return super.createContentDecoder(length, from, new UncutLines(buffer), metrics);
+            }
+        }) {
             @Override
             public void outputReady(IOSession ready) throws IOException {
                 super.outputReady(ready);
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -1,5 +1,6 @@
 package calicochute.frontend;
 
+import calicochute.framing.UncutLines;
 import calicochute.metrics.Counter;
 import calicochute.settings.Bounds;
 import java.io.IOException;
@@ -7,14 +8,22 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.IllegalBlockingModeException;
+import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -149,12 +158,19 @@
     private boolean spoilt;
 
     private ClientConnection(State state, Callback<Exception> onFault) {
-        super(new ServerHttp1StreamDuplexerFactory(PROCESSOR, (request, context) -> {
+        super(new ServerHttp1StreamDuplexer(state.session, PROCESSOR, (request, context) -> {
             SessionHandler handler = new SessionHandler(state);
             state.latest = handler;
             return new BasicAsyncServerExpectationDecorator(handler, onFault);
-        }, LIMITS, CharCodingConfig.DEFAULT, null, () -> new RequestGuard(state), null, null, onFault)
-            .create("http", state.session));
+        }, "http", LIMITS, CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE, new RequestGuard(state),
+            DefaultHttpResponseWriterFactory.INSTANCE.create(), DefaultContentLengthStrategy.INSTANCE,
+            DefaultContentLengthStrategy.INSTANCE, null, onFault) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel from, SessionInputBuffer buffer,
+                                                          BasicHttpTransportMetrics metrics) throws HttpException {
+                return super.createContentDecoder(length, from, new UncutLines(buffer), metrics);
+            }
+        });
         this.state = state;
         state.session.setSocketTimeout(Timeout.ofMilliseconds(REQUEST_MS));
     }
--- a/balancer/src/main/java/calicochute/frontend/RequestGuard.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestGuard.java
@@ -5,6 +5,7 @@
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.util.regex.Pattern;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
@@ -57,8 +58,12 @@
         }
         int before = buffer.length();
         try {
-            HttpRequest request = parser.parse(buffer, endOfStream);
+            // Guards against a request cut short in its head: told of the end, HttpCore takes what has come for all of it.
+            HttpRequest request = parser.parse(buffer, false);
             headBytes += before - buffer.length();
+            if (request == null && endOfStream && (headBytes > 0 || buffer.hasData())) {
+                throw new ConnectionClosedException("request cut short in its head");
+            }
             if (headBytes > HEAD_LIMIT) {
                 throw new RequestHeaderFieldsTooLargeException("head over " + HEAD_LIMIT + " bytes");
             }
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -100,6 +100,39 @@
         assertEquals("who goes has not sent bad input", bodies.size(), program.counter("sessions_bad_input"));
     }
 
+    /** A head that breaks off behind any byte goes nowhere: not with less time than its client has, and not at all. */
+    @Test
+    public void aHeadCutShortIsNoSession() throws Exception {
+        for (int bytes = 1; bytes <= VIEW.length(); bytes++) {
+            try (Socket socket = program.connect()) {
+                socket.getOutputStream().write(VIEW.substring(0, bytes).getBytes(StandardCharsets.US_ASCII));
+                socket.shutdownOutput();
+                assertTrue(Program.ended(socket));
+            }
+            assertEquals("cut behind byte " + bytes, 0, program.counter("sessions_taken"));
+        }
+    }
+
+    /** A body in chunks that breaks off behind any byte goes nowhere; whole, it passes. */
+    @Test
+    public void aBodyCutShortIsNoSession() throws Exception {
+        String chunks = "02\r\nhe\r\n003\r\nllo\r\n0\r\n\r\n";
+        for (int bytes = 0; bytes <= chunks.length(); bytes++) {
+            try (Socket socket = program.connect()) {
+                assertEquals("cut behind byte " + bytes, 0, program.counter("sessions_taken"));
+                socket.getOutputStream().write((SCAN + "Transfer-Encoding: chunked\r\n\r\n" + chunks.substring(0, bytes))
+                    .getBytes(StandardCharsets.US_ASCII));
+                if (bytes < chunks.length()) {
+                    socket.shutdownOutput();
+                    assertTrue(Program.ended(socket));
+                } else {
+                    assertEquals(200, Http.read(socket.getInputStream()).status());
+                }
+            }
+        }
+        assertEquals("hello", new String(server.requests.get(0).body(), StandardCharsets.US_ASCII));
+    }
+
     /** Refused at the head: the client has not sent a byte of its body yet. */
     @Test
     public void aBodyThatWouldBeTooLongIsRefusedUnread() throws Exception {
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -131,5 +131,12 @@
             assertEquals("cut behind byte " + bytes, 502, order(GOOD.substring(0, bytes)).status());
         }
         assertEquals(200, order(GOOD).status());
+        // A size may begin with zeros, and one cut behind them is not the last.
+        String chunked = GOOD.replace("Content-Length: 5", "Transfer-Encoding: chunked")
+            .replace("a map", "02\r\na \r\n003;x=y\r\nmap\r\n0\r\nX-T: y\r\n\r\n");
+        for (int bytes = chunked.indexOf("02"); bytes < chunked.length(); bytes++) {
+            assertEquals("cut behind byte " + bytes, 502, order(chunked.substring(0, bytes)).status());
+        }
+        assertEquals("a map", new String(order(chunked).body(), StandardCharsets.US_ASCII));
     }
 }
