--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -167,20 +167,25 @@
             return Http.answer(200, "", "late");
         };
         try (Socket owed = program.connect(); Socket silent = program.connect(); Socket half = program.connect();
-             Socket dripping = program.connect()) {
+             Socket dripping = program.connect(); Socket body = program.connect()) {
+            body.getOutputStream().write((SCAN + "Content-Length: 60000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             owed.getOutputStream().write(Http.message(VIEW, new byte[0]));
             half.getOutputStream().write("GET /api HTT".getBytes(StandardCharsets.US_ASCII));
-            await("the dripping one ends", () -> {
-                try {
-                    dripping.getOutputStream().write('G');
-                    return false;
-                } catch (IOException e) {
-                    return true;
+            await("those that drip end, in the head and in the body", () -> {
+                boolean all = true;
+                for (Socket one : List.of(dripping, body)) {
+                    try {
+                        one.getOutputStream().write('G');
+                        all = false;
+                    } catch (IOException e) {
+                        // This one has ended.
+                    }
                 }
+                return all;
             });
             assertTrue(Program.ended(silent));
             assertTrue(Program.ended(half));
-            assertEquals(3, program.counter("clients_closed_slow"));
+            assertEquals(4, program.counter("clients_closed_slow"));
             release.countDown();
             assertEquals(200, Http.read(owed.getInputStream()).status());
         }
