At the end a connection with half a head on it is not ended as a silent one

Checked by reading where this side ends a connection: Frontend.endIdle asks connections that are silent for 250 ms to end, and ClientConnection.silentMs counts one as silent until a request has come whole. Shown: half a head, SIGTERM, the rest of the head 0.6 s later: no answer (ServeTest.halfAHeadIsNoIdleConnection, before). Ruled out: idle connections with bytes not yet read (bytesWait), answers still going out (SETTLE_MS), sessions in hand (owesAnswer).

At fault: timeout(), which took the end asked for as the head's own time-out. Change: a head that has begun keeps its 2.4 s. ServeTest and BadClientTest pass.

--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -65,6 +65,8 @@
         volatile SessionHandler latest;
         /** A request is due or under way; false from its end until the next one's first byte. */
         volatile boolean receiving = true;
+        /** Something has come on this connection. */
+        private volatile boolean heard;
         /** Nothing more is read: something here was refused, or came before the answer to an earlier request. */
         volatile boolean last;
         long since = System.nanoTime();
@@ -123,6 +125,11 @@
             return Math.min(STILL_MS, STILL_MS + bodyBytes / RATE - took);
         }
 
+        /** How long a head that has begun to come may yet take, in milliseconds; not positive if none has or it took too long. */
+        private synchronized long headMs() {
+            return receiving && heard && bodySince == 0 ? REQUEST_MS - ageMs() : 0;
+        }
+
         /** A long answer goes out: the client's reading is awaited. */
         void passing() {
             session.setSocketTimeout(Timeout.ofMilliseconds(UNREAD_MS));
@@ -200,6 +207,7 @@
             state.since = System.nanoTime();
             state.bodySince = 0;
         }
+        state.heard = true;
         super.inputReady(session, source);
         if (state.receiving) {
             // Guards against a client that sends a byte now and then: HttpCore's own time-out starts anew with each.
@@ -233,6 +241,12 @@
             state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
             return;
         }
+        long head = state.headMs();
+        if (head > 0) {
+            // Guards against the end of idle connections that crosses a request half of which has come: its own time runs.
+            session.setSocketTimeout(Timeout.ofMilliseconds(head));
+            return;
+        }
         SessionHandler handler = state.latest;
         if (state.receiving && state.pausedSince != 0) {
             return;
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -122,6 +122,19 @@
         assertTrue(discovery.requests.get(1).firstLine(), discovery.requests.get(1).firstLine().contains("since=7&"));
     }
 
+    /** At SIGTERM silent connections are ended, but not one on which half a head has come: the rest of it is answered. */
+    @Test
+    public void halfAHeadIsNoIdleConnection() throws Exception {
+        byte[] view = Http.message(session(ID, "view"), new byte[0]);
+        try (Socket half = program.connect(); Socket silent = program.connect()) {
+            half.getOutputStream().write(view, 0, 50);
+            program.signal("TERM");
+            assertTrue(Program.ended(silent));
+            half.getOutputStream().write(view, 50, view.length - 50);
+            assertEquals(200, Http.read(half.getInputStream()).status());
+        }
+    }
+
     /** What a session held goes with its answer, however long its client would have waited: twice the heap passes through. */
     @Test
     public void anAnsweredSessionIsLetGo() throws Exception {
