--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -276,8 +276,12 @@
     }
 
     private void guardDeadline(Exchange exchange) {
-        deadlines.put(exchange.id, queue.after(
-            Math.max(ANSWER_MARGIN, exchange.deadline() - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
+        long due = Math.min(exchange.deadline(), presence.answersBy(longestDeadline()));
+        deadlines.put(exchange.id, queue.after(Math.max(ANSWER_MARGIN, due - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
+    }
+
+    private long longestDeadline() {
+        return succession.classes().stream().mapToLong(Balancer.RequestClass::deadline).max().orElse(0);
     }
 
     private void dropDeadline(Exchange exchange) {
@@ -330,13 +334,17 @@
         }
     }
 
-    /** Guards the rule that no session is lost: whatever the module does, an answer leaves in time. */
+    /**
+     * Guards the rule that no session is lost: whatever the module does, an answer leaves in time; before the platform ends
+     * the process, if that comes first.
+     */
     private void overdue(Exchange exchange) {
         if (exchange.closed()) {
             return;
         }
-        counters.count(Counter.SESSIONS_ENDED_BY_DEADLINE);
-        answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(true)
+        boolean stop = queue.now() < exchange.deadline() - ANSWER_MARGIN;
+        counters.count(stop ? Counter.SESSIONS_ENDED_BY_STOP : Counter.SESSIONS_ENDED_BY_DEADLINE);
+        answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(!stop)
             : new Answer.Denied(exchange.limits.away()));
         tell(new Balancer.ClientGone(exchange.id));
         retire(exchange);
@@ -503,6 +511,10 @@
         queue.post(() -> {
             presence = presence.end(queue.now(), lives.other());
             endIdle();
+            open.values().stream().filter(e -> deadlines.containsKey(e.id)).forEach(e -> {
+                dropDeadline(e);
+                guardDeadline(e);
+            });
             begun.countDown();
         });
         begun.await();
--- a/balancer/src/main/java/calicochute/presence/Presence.java
+++ b/balancer/src/main/java/calicochute/presence/Presence.java
@@ -20,6 +20,11 @@
     private static final long END = 550_000;
     /** So long kept connections may end with an answer before the idle ones are ended. */
     private static final long HAND_OVER = 1_000_000;
+    /** SIGKILL follows SIGTERM after the longest deadline, taken for this where it is longer, and so much more. */
+    private static final long LONGEST = 3_000_000;
+    private static final long MORE = 700_000;
+    /** A process beside one that starts was seen to stand still for a second; and an answer has to be written. */
+    private static final long STOP_MARGIN = 1_000_000;
 
     public enum State { SERVING, LEAVING, AWAY, ENDING, ENDED }
 
@@ -65,6 +70,12 @@
         return accompanied ? now - since >= HAND_OVER : at(now) == State.AWAY || at(now) == State.ENDED;
     }
 
+    /** When all that was taken must have its answer: the platform ends the process soon after. Far away unless SIGTERM came. */
+    public long answersBy(long longestDeadline) {
+        return state == State.ENDING ? since + MORE + Math.max(0, Math.min(longestDeadline, LONGEST) - STOP_MARGIN)
+            : Long.MAX_VALUE;
+    }
+
     /** New connections are taken in. */
     public boolean accepts(long now) {
         return !accompanied && at(now) != State.ENDED;
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -272,6 +272,27 @@
         assertEquals(0, program.process.exitValue());
     }
 
+    /** What a stop finds under way is answered before the platform ends the process, though its own time is longer. */
+    @Test
+    public void aPlannedStopLeavesNothingToTheKill() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "too late");
+        };
+        try (Socket before = program.connect(); Socket after = program.connect()) {
+            before.getOutputStream().write(Http.message(session(ID, "order").replace(": 8000", ": 60000"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            program.process.destroy();
+            await("draining", () -> program.log().contains("draining"));
+            after.getOutputStream().write(Http.message(session("0" + ID.substring(1), "view").replace(": 8000", ": 60000"),
+                new byte[0]));
+            assertEquals(502, Http.read(before.getInputStream()).status());
+            assertEquals(502, Http.read(after.getInputStream()).status());
+        }
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 2"));
+    }
+
     /** SIGHUP moves the watch to discovery's new address and disturbs nothing else; a bad file changes nothing. */
     @Test
     public void aHangupMovesDiscoveryOnly() throws Exception {
