Where none of the walk is in time softmax decides, not any server that may be sent to

Cause: with 8 upstreams and 0.7 s an answer 1 to 13 own dispatches are out at each; the discount for them says that none answers in time, and walk() ended in anyLegal, a random one. One that fails at once has nothing out. At fault: the last line of walk(). Change: it ends in softmax over the same estimates, as every pick above the walk's band does. Test: EdgeTest.aServerThatFailsAtOnceIsNotTheWayOutOfACrowd (6 of 30 to the failing one before, none now).

--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -300,7 +300,7 @@
         if (poll != null) { return poll; }
         // DANGER: one zone refuses while the next one idles: home comes first only far from the limit.
         boolean home = settings.goal().crossZonePrice() > 0 && open <= limit * (1 - WORTH_SPREAD);
-        double best = 0, sum = 0;
+        double top = 0, sum = 0;
         int known = 0;
         for (Server s : from) {
             s.score = 0;
@@ -310,13 +310,13 @@
             }
             if (maySend(r, s) && !r.tried(s)) {
                 s.score = effective(s) * (home && !s.entry.zone().equals(settings.zone()) ? ABROAD : 1);
-                best = Math.max(best, s.score);
+                top = Math.max(top, s.score);
             }
         }
         if (known > 0) { typical = Math.max(0.01, sum / known); }
-        if (best == 0) { return anyLegal(r, from, false); }
-        double room = headroom(r, best);
-        return room < LOW && !bound ? walk(r) : softmax(from, best, room < HIGH ? TAU_TARGET : TAU_FULL);
+        if (top == 0) { return anyLegal(r, from, false); }
+        double room = headroom(r, top);
+        return room < LOW && !bound ? walk(r, top) : softmax(from, top, room < HIGH ? TAU_TARGET : TAU_FULL);
     }
 
     /** From a random place on, the first backend that may be sent to. */
@@ -352,7 +352,7 @@
     }
 
     /** Stays on the walk's backend while it should answer in time; re-sorts only at the list's end. */
-    private Server walk(Request r) {
+    private Server walk(Request r, double best) {
         for (int pass = 0; pass < 2; pass++) {
             for (; walkAt < walk.length; walkAt++) {
                 Server s = walk[walkAt];
@@ -360,12 +360,12 @@
                 if (inTime && maySend(r, s) && !r.tried(s)) { return s; }
             }
             walk = use.clone();
-            for (Server s : walk) { s.score = effective(s); }
             // Ties stay in this instance's own order, lest all instances take one server first.
-            Arrays.sort(walk, Comparator.comparingDouble(s -> -s.score));
+            Arrays.sort(walk, Comparator.comparingDouble(s -> -effective(s)));
             walkAt = 0;
         }
-        return anyLegal(r, walk, false);
+        // DANGER: where own dispatches crowd them all none is in time; any may be one that fails at once.
+        return softmax(use, best, TAU_TARGET);
     }
 
     // ---- Estimates
--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -284,4 +285,20 @@
             }
         }
     }
+
+    /** Own dispatches crowd every healthy server, so that none seems in time: the one that fails at once has none out, and gets none. */
+    @Test
+    void aServerThatFailsAtOnceIsNotTheWayOutOfACrowd() {
+        Fixture f = Fixture.of(Effect.ONCE, KeyScope.ALL).list(fleet(4));
+        for (int i = 0; i < 40; i++) {
+            f.one(i + 1, Outcome.OK, 100_000);
+        }
+        f.choice.servers.values().forEach(s -> s.speed = s.id.equals("b0") ? 0.02 : 1);
+        f.sent.clear();
+        for (int i = 0; i < 30; i++) {
+            f.arrive(100 + i, 120_000);
+        }
+        Map<String, Long> got = f.sent.stream().collect(Collectors.groupingBy(Fixture.Sent::backend, Collectors.counting()));
+        assertEquals(Map.of("b1", 10L, "b2", 10L, "b3", 10L), got);
+    }
 }
