--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -47,7 +47,7 @@
     /** Share of the cold allowance used: sends come in clumps and peers judge by other samples. */
     private static final double COLD_CAUTION = 0.5;
     /** Queueing may take this share of the slack between a class's lowest typical answer time and its aim. */
-    private static final double AIM_SHARE = 0.38;
+    private static final double AIM_SHARE = 0.3;
     /** The least worthy request is refused this far below the limit. */
     private static final double WORTH_SPREAD = 0.3;
     private static final int LIMIT_MIN = 8;
--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -301,4 +301,14 @@
         Map<String, Long> got = f.sent.stream().collect(Collectors.groupingBy(Fixture.Sent::backend, Collectors.counting()));
         assertEquals(Map.of("b1", 10L, "b2", 10L, "b3", 10L), got);
     }
+
+    /** Queues that take a third of the slack between 100 ms and the aim of 1 s are too long: admission begins to close. */
+    @Test
+    void admissionClosesBeforeQueuesTakeAThirdOfTheSlack() {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list(fleet(4));
+        for (int i = 0; i < 100; i++) {
+            f.one(i + 1, Outcome.OK, i < 40 ? 100_000 : 410_000);
+        }
+        assertTrue(f.choice.limit < 1000, "limit " + f.choice.limit);
+    }
 }
