A crowd of own dispatches spills by softmax and no longer herds on one server by the walk

Cause: headroom is taken from the estimate that own dispatches divide (CROWD), so that a handful out at home look like little time, and the walk stays on a server until it is crowded. At fault: headroom(r, best) in pick(). Change: home first while headroom is there, then softmax over all zones; the walk only where a server without own dispatches would leave little time. About twelve samples count where they are few (work varies by a factor of e; four left a third of noise). The typical speed is taken at reviews (every 250 ms) and no more at each pick. A count of 0 balancers is read as 1 by the settings, no more by the module.

--- a/balancer/src/main/java/calicochute/decision/Choice.java
+++ b/balancer/src/main/java/calicochute/decision/Choice.java
@@ -13,15 +13,14 @@
 /**
  * Every decision of the balancer; its interface (settings, events, actions) is Balancer.java.
  * The ordinary path follows Bouten et al.: an aged EWMA of speed per backend, softmax over speed by the best,
- * temperature and ordered walk set by headroom. DANGER marks a departure and what it guards against;
- * docs/design.md gives the triggers. Instances share nothing: all state is in the fields below.
+ * temperature and ordered walk set by headroom. DANGER marks a departure (docs/design.md). Nothing is shared.
  */
 final class Choice implements Balancer {
     // ---- Tunables: times in microseconds, speeds relative to the class's typical latency (1 = typical).
     /** Time constant of the aged EWMA; the paper's value. */
     private static final double DELTA = 3e6;
     /** Where samples are few, age so slowly that about this many count: one draw says little. */
-    private static final double SAMPLES = 4;
+    private static final double SAMPLES = 12;
     /** A sample never outweighs all that came before: one failure after a silence is not a verdict. */
     private static final double ALPHA_MAX = 0.5;
     /** A failure says more than a slow answer and comes in bursts too short for ageing to see. */
@@ -300,23 +299,23 @@
         if (poll != null) { return poll; }
         // DANGER: one zone refuses while the next one idles: home comes first only far from the limit.
         boolean home = settings.goal().crossZonePrice() > 0 && open <= limit * (1 - WORTH_SPREAD);
-        double top = 0, sum = 0;
-        int known = 0;
-        for (Server s : from) {
-            s.score = 0;
-            if (s.polled) {
-                sum += s.speed;
-                known++;
-            }
-            if (maySend(r, s) && !r.tried(s)) {
-                s.score = effective(s) * (home && !s.entry.zone().equals(settings.zone()) ? ABROAD : 1);
-                top = Math.max(top, s.score);
-            }
-        }
-        if (known > 0) { typical = Math.max(0.01, sum / known); }
+        double top = score(r, from, home ? ABROAD : 1);
         if (top == 0) { return anyLegal(r, from, false); }
         double room = headroom(r, top);
-        return room < LOW && !bound ? walk(r, top) : softmax(from, top, room < HIGH ? TAU_TARGET : TAU_FULL);
+        if (room >= LOW || bound) { return softmax(from, top, room < HIGH ? TAU_TARGET : TAU_FULL); }
+        // DANGER: own dispatches that crowd home look like little time: they spill, and no walk herds them.
+        top = score(r, from, 1);
+        double alone = Arrays.stream(from).filter(s -> s.score > 0).mapToDouble(this::alone).max().orElse(0);
+        return headroom(r, alone) < LOW ? walk(r, top) : softmax(from, top, TAU_TARGET);
+    }
+
+    /** Scores all that the request may go to, the others 0; the greatest. */
+    private double score(Request r, Server[] from, double abroad) {
+        for (Server s : from) {
+            double share = s.entry.zone().equals(settings.zone()) ? 1 : abroad;
+            s.score = maySend(r, s) && !r.tried(s) ? effective(s) * share : 0;
+        }
+        return Arrays.stream(from).mapToDouble(s -> s.score).max().orElse(0);
     }
 
     /** From a random place on, the first backend that may be sent to. */
@@ -370,8 +369,11 @@
 
     // ---- Estimates
 
-    /** A backend's speed as it counts now: aged to the typical, bounded by attempts out, shared with them. */
-    double effective(Server s) {
+    /** A backend's speed as it counts now: shared with own attempts out. */
+    double effective(Server s) { return Math.max(1e-3, alone(s) / (1 + CROWD * s.out)); }
+
+    /** For one that would be alone: aged to the typical, bounded by the age of attempts out. */
+    private double alone(Server s) {
         // An estimate from the future, by an older process's clock, is one of now.
         double keep = Math.exp(Math.min(0, s.sampledAt - now) / FORGET);
         double speed = s.speed * keep + typical * (1 - keep);
@@ -381,7 +383,7 @@
             double age = now - s.oldest.sentAt;
             if (usual > 0 && age > PATIENCE * usual) { speed = Math.min(speed, PATIENCE * usual / age); }
         }
-        return Math.max(1e-3, speed / (1 + CROWD * s.out));
+        return speed;
     }
 
     private void learn(Attempt a, AttemptEnded e) {
@@ -426,21 +428,22 @@
         double seconds = Math.max(now - reviewedAt, 1) / 1e6;
         double weight = reviewedAt == 0 ? 0 : 1 - Math.exp(-seconds / 3);
         reviewedAt = now;
-        int warm = 0, sick = 0;
+        var speeds = Arrays.stream(use).filter(s -> s.polled).mapToDouble(s -> s.speed).average();
+        typical = Math.max(0.01, speeds.orElse(typical));
         for (Server s : use) {
             // DANGER: connections left idle by one caller fill a small table and shut the others out.
             if (s.peak > s.out + 1 && now < unconnectedAt + FORGET) {
                 actions.closeIdle(s.id);
                 s.peak = s.out;
             }
-            warm += cold(s) ? 0 : 1;
-            sick += s.polled && effective(s) * (1 + CROWD * s.out) < typical / 3 ? 1 : 0;
         }
+        long warm = Arrays.stream(use).filter(s -> !cold(s)).count();
+        long sick = Arrays.stream(use).filter(s -> s.polled && alone(s) < typical / 3).count();
         warmRate += weight * (warmAnswers / seconds / Math.max(1, warm) - warmRate);
         answerRate += weight * (allAnswers / seconds - answerRate);
         warmAnswers = allAnswers = 0;
         for (int i = 0; i < arrivals.length; i++) { arrivals[i] *= 0.9; }
-        int want = subsetSize() + sick;
+        int want = subsetSize() + (int) sick;
         if (want > use.length && use.length < ranked.length || want < use.length * 2 / 3) { choose(want); }
     }
 
@@ -488,12 +491,11 @@
 
     /** Instances of one round take neighbouring slices of one order, so that callers are spread evenly. */
     private int rounds() {
-        return Math.max(1, Math.min(settings.balancers(), (int) CALLERS));
+        return Math.min(settings.balancers(), (int) CALLERS);
     }
 
     private int subsetSize() {
-        int balancers = Math.max(1, settings.balancers());
-        return (int) Math.max(SUBSET_MIN, Math.ceil(CALLERS * ranked.length / balancers));
+        return (int) Math.max(SUBSET_MIN, Math.ceil(CALLERS * ranked.length / settings.balancers()));
     }
 
     private void choose(int size) {
--- a/balancer/src/main/java/calicochute/settings/SettingsParser.java
+++ b/balancer/src/main/java/calicochute/settings/SettingsParser.java
@@ -42,7 +42,7 @@
         Goal goal = new Goal(decimal("goal.whole", 1), decimal("goal.worst_window", 0),
             decimal("goal.worst_class", 0), decimal("goal.worst_tenant", 0), decimal("prices.cross_zone", 0),
             decimal("prices.waste", 0), decimal("prices.late_fail", 0));
-        return new Settings(seed(), count("me", 0, 0), count("balancers", 1, 0),
+        return new Settings(seed(), count("me", 0, 0), Math.max(1, count("balancers", 1, 0)),
             count("layer", 0, 0), flag("domain.passes_deadline"),
             text("discovery", "pushed").equals("on_request"), flag("client_habits.marks_retry"), text("zone", ""),
             time("tick", 1000, 1), decimal("over_share_worth", 1), reportFields(), classes(), tenants(), limits, rules, goal);
--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/balancer/src/test/java/calicochute/decision/EdgeTest.java
@@ -311,4 +311,19 @@
         }
         assertTrue(f.choice.limit < 1000, "limit " + f.choice.limit);
     }
+
+    /** Own dispatches alone make headroom look small: what comes next is spread, not herded on one server as a walk would. */
+    @Test
+    void aCrowdOfOwnDispatchesIsNoLittleTime() {
+        Fixture f = Fixture.of(Effect.REPEATABLE, KeyScope.ALL).list(fleet(4));
+        for (int i = 0; i < 40; i++) {
+            f.one(i + 1, Outcome.OK, 100_000);
+        }
+        f.choice.servers.values().forEach(s -> s.speed = 1);
+        for (int i = 0; i < 140; i++) {
+            f.arrive(100 + i, 2_500_000);
+        }
+        int most = f.choice.servers.values().stream().mapToInt(s -> s.out).max().orElseThrow();
+        assertTrue(most <= 37, most + " of 140 out at one of four alike");
+    }
 }
