Errors get types of their own, each with a code, a place and what an operator can do

Cause: an error was a line of text and nothing else; what to do about it stood on the on-call page, if at all, and a test could not tell one kind from another.

Change: module errors (Fault, Code and two bases for exceptions). Settings, lists, the simulator's wire, addresses, inherited sockets and the lab's inputs have types of their own on it. A command that ends with one prints the remedy on a second line. docs/errors.md lists the codes, and a test holds the page to them.

--- a/balancer/src/main/java/calicochute/cli/CommandLine.java
+++ b/balancer/src/main/java/calicochute/cli/CommandLine.java
@@ -1,5 +1,6 @@
 package calicochute.cli;
 
+import calicochute.errors.Fault;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
@@ -66,6 +67,10 @@
             System.err.println(program + ": " + e.getMessage());
             return WRONG_USAGE;
         } catch (Exception e) {
+            if (e instanceof Fault fault) {
+                System.err.println(program + ": " + fault.text());
+                return FAILED;
+            }
             System.err.println(program + ": " + (e.getMessage() == null ? e : e.getMessage()));
             return FAILED;
         }
--- a/balancer/src/main/java/calicochute/discovery/ServerList.java
+++ b/balancer/src/main/java/calicochute/discovery/ServerList.java
@@ -2,6 +2,7 @@
 
 import calicochute.decision.Balancer.Backend;
 import calicochute.decision.Balancer.BackendState;
+import calicochute.errors.Code;
 import calicochute.settings.Configuration;
 import calicochute.settings.Document;
 import calicochute.settings.SettingsException;
@@ -42,7 +43,7 @@
                 addresses);
         } catch (IllegalStateException | ClassCastException | NumberFormatException
                  | UnsupportedOperationException | NullPointerException e) {
-            throw new SettingsException("not a list of instances: " + e.getMessage());
+            throw new SettingsException(Code.SERVER_LIST, "", "not a list of instances: " + e.getMessage());
         }
     }
 
@@ -50,7 +51,7 @@
     private static InetSocketAddress address(String text) throws SettingsException {
         String host = text.substring(0, Math.max(0, text.lastIndexOf(':')));
         if (!InetAddressUtils.isIPv4(host) && !InetAddressUtils.isIPv6URLBracketed(host)) {
-            throw new SettingsException("hostPort is not a numeric address and a port: '" + text + "'");
+            throw new SettingsException(Code.SERVER_LIST, "hostPort", "is not a numeric address and a port: '" + text + "'");
         }
         return Configuration.address("hostPort", text);
     }
@@ -72,7 +73,7 @@
             case "Ready" -> BackendState.READY;
             case "Terminating" -> BackendState.DRAINING;
             case "Gone" -> BackendState.GONE;
-            default -> throw new SettingsException("unknown lifecycle '" + word + "'");
+            default -> throw new SettingsException(Code.SERVER_LIST, "lifecycle", "unknown word '" + word + "'");
         };
     }
 }
--- /dev/null
+++ b/balancer/src/main/java/calicochute/listening/AddressException.java
@@ -0,0 +1,15 @@
+package calicochute.listening;
+
+import calicochute.errors.Code;
+import calicochute.errors.IoFault;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** An address that can't be listened at. */
+public final class AddressException extends IoFault {
+    private static final long serialVersionUID = 1L;
+
+    AddressException(InetSocketAddress address, IOException cause) {
+        super(Code.ADDRESS_TAKEN, "", "cannot listen at " + address + ": " + cause.getMessage(), cause);
+    }
+}
--- a/balancer/src/main/java/calicochute/listening/Listening.java
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -64,7 +64,7 @@
             return new Listening(socket, true, name, handlers, onFault, counters);
         } catch (IOException e) {
             socket.close();
-            throw new IOException("cannot listen at " + address + ": " + e.getMessage(), e);
+            throw new AddressException(address, e);
         }
     }
 
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -1,6 +1,7 @@
 package calicochute.settings;
 
 import calicochute.decision.Balancer.Settings;
+import calicochute.errors.Code;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -53,9 +54,9 @@
                 SettingsParser.time(values, "caps.conn_idle", DEFAULT_CONNECTION_IDLE),
                 root.has("known") ? root.get("known").toString() : "", settings, document);
         } catch (IOException e) {
-            throw new SettingsException("cannot read " + file);
+            throw new SettingsException(Code.CONFIGURATION_UNREADABLE, "", "cannot read " + file);
         } catch (SettingsException e) {
-            throw new SettingsException(file + ": " + e.getMessage());
+            throw e.in(file.toString());
         } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
                  | UnsupportedOperationException e) {
             throw new SettingsException(file + " is not a configuration: " + e.getMessage());
@@ -67,7 +68,7 @@
         Configuration next = read(file);
         Set<String> missing = next.document.missing(document);
         if (!missing.isEmpty()) {
-            throw new SettingsException(file + ": lacks what the running one has: " + String.join(", ", missing));
+            throw new SettingsException(Code.RELOAD, file.toString(), "lacks what the running one has: " + String.join(", ", missing));
         }
         return next;
     }
--- a/balancer/src/main/java/calicochute/settings/SettingsException.java
+++ b/balancer/src/main/java/calicochute/settings/SettingsException.java
@@ -1,10 +1,22 @@
 package calicochute.settings;
 
-/** Settings or a configuration that can't be used; the message says what is wrong with them. */
-public final class SettingsException extends Exception {
+import calicochute.errors.Code;
+import calicochute.errors.CheckedFault;
+
+/** Settings, a configuration or a list that can't be used; the message says what is wrong with them. */
+public final class SettingsException extends CheckedFault {
     private static final long serialVersionUID = 1L;
 
     public SettingsException(String message) {
-        super(message);
+        this(Code.SETTINGS, "", message);
+    }
+
+    public SettingsException(Code code, String where, String seen) {
+        super(code, where, seen, null);
+    }
+
+    /** The same fault, told with the place where it was met. */
+    public SettingsException in(String place) {
+        return new SettingsException(code(), where().isEmpty() ? place : place + ": " + where(), seen());
     }
 }
--- a/balancer/src/main/java/calicochute/takeover/InheritedSocket.java
+++ b/balancer/src/main/java/calicochute/takeover/InheritedSocket.java
@@ -23,7 +23,7 @@
             return null;
         }
         if (!descriptor.equals("0")) {
-            throw new IOException(VARIABLE + " is '" + descriptor + "', but only descriptor 0 can be inherited");
+            throw new InheritedSocketException(VARIABLE + " is '" + descriptor + "', but only descriptor 0 can be inherited");
         }
         // Java points the standard streams at /dev/null once it hands out the channel: opened anew before, they go on.
         PrintStream out = again(1, System.out);
@@ -34,7 +34,7 @@
         if (channel instanceof ServerSocketChannel listening) {
             return listening;
         }
-        throw new IOException(VARIABLE + " is 0, but descriptor 0 is no listening socket");
+        throw new InheritedSocketException(VARIABLE + " is 0, but descriptor 0 is no listening socket");
     }
 
     /** Appending, since a file opened anew would be written from its start. */
--- a/balancer/src/main/java/calicochute/wire/WireException.java
+++ b/balancer/src/main/java/calicochute/wire/WireException.java
@@ -1,10 +1,13 @@
 package calicochute.wire;
 
+import calicochute.errors.Code;
+import calicochute.errors.CheckedFault;
+
 /** Malformed input; the message names the line and what is wrong with it. */
-public final class WireException extends Exception {
+public final class WireException extends CheckedFault {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
-        super(message);
+        super(Code.WIRE, "", message, null);
     }
 }
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -402,7 +402,8 @@
             assertTrue(process.waitFor(30, TimeUnit.SECONDS));
             assertEquals(1, process.exitValue());
             assertTrue(Files.readString(log), Files.readString(log).startsWith("calicochute: "));
-            assertEquals(1, Files.readString(log).lines().count());
+            assertTrue(Files.readString(log), Files.readAllLines(log).get(1).matches("  C1\\d\\d: .+"));
+            assertEquals(2, Files.readString(log).lines().count());
         }
     }
 
--- a/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
+++ b/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
@@ -94,7 +94,7 @@
             balancer.listeners(b -> ready.countDown(), why -> System.err.println(why));
             site.world.post(balancer::start);
             if (!ready.await(START_LIMIT_S, TimeUnit.SECONDS)) {
-                throw new IOException("the balancer was not ready within " + START_LIMIT_S + " s");
+                throw new StartException("", "the balancer was not ready within " + START_LIMIT_S + " s");
             }
             InetSocketAddress behind = server.address(spec.zone());
             InetSocketAddress relay = site.freeAddress();
--- /dev/null
+++ b/lab/src/main/java/calicochute/lab/experiment/DeploymentException.java
@@ -0,0 +1,13 @@
+package calicochute.lab.experiment;
+
+import calicochute.errors.Code;
+import calicochute.errors.IoFault;
+
+/** A deployment that the lab cannot start balancers from. */
+public final class DeploymentException extends IoFault {
+    private static final long serialVersionUID = 1L;
+
+    public DeploymentException(String where, String seen) {
+        super(Code.DEPLOYMENT, where, seen, null);
+    }
+}
--- a/lab/src/main/java/calicochute/lab/experiment/Installation.java
+++ b/lab/src/main/java/calicochute/lab/experiment/Installation.java
@@ -23,7 +23,7 @@
                 return at;
             }
         }
-        throw new IOException(DEPLOY + " is neither in " + folder + " nor above it");
+        throw new DeploymentException(DEPLOY, "is neither in " + folder + " nor above it");
     }
 
     /** Balancers as deployed, or by a command that is given in its place. */
@@ -35,7 +35,7 @@
         Path file = root.resolve(DEPLOY);
         JsonNode run = new TomlMapper().readTree(file.toFile()).get("run");
         if (run == null || run.asText().isBlank()) {
-            throw new IOException(file + ": run: is missing");
+            throw new DeploymentException(file.toString(), "run: is missing");
         }
         return new Emulation.Balancers(run.asText(), root);
     }
--- a/lab/src/main/java/calicochute/lab/experiment/Variant.java
+++ b/lab/src/main/java/calicochute/lab/experiment/Variant.java
@@ -1,5 +1,6 @@
 package calicochute.lab.experiment;
 
+import calicochute.lab.result.ResultException;
 import calicochute.lab.result.RunFolder;
 import calicochute.lab.result.RunResult;
 import java.io.IOException;
@@ -24,7 +25,7 @@
             }
         }
         if (folders.isEmpty()) {
-            throw new IOException(folder + ": holds no result of a run");
+            throw new ResultException(folder.toString(), "holds no result of a run");
         }
         List<RunResult> runs = new ArrayList<>();
         int skipped = 0;
@@ -37,7 +38,7 @@
             }
         }
         if (runs.isEmpty()) {
-            throw new IOException(folder + ": none of its " + skipped + " runs counts");
+            throw new ResultException(folder.toString(), "none of its " + skipped + " runs counts");
         }
         return new Variant(folder.toString(), runs, skipped);
     }
--- a/lab/src/main/java/calicochute/lab/result/RunFolder.java
+++ b/lab/src/main/java/calicochute/lab/result/RunFolder.java
@@ -42,12 +42,12 @@
     public static RunResult read(Path folder) throws IOException {
         Path file = folder.resolve(RESULT);
         if (!Files.isRegularFile(file)) {
-            throw new IOException(folder + ": holds no result (" + RESULT + " is missing)");
+            throw new ResultException(folder.toString(), "holds no result (" + RESULT + " is missing)");
         }
         try {
             RunResult result = JSON.readValue(file.toFile(), RunResult.class);
             if (result.version() != RunResult.VERSION) {
-                throw new IOException(file + ": version " + result.version() + " is not " + RunResult.VERSION);
+                throw new ResultException(file.toString(), "version " + result.version() + " is not " + RunResult.VERSION);
             }
             return result;
         } catch (JacksonException e) {
--- a/lab/src/main/java/calicochute/lab/scenario/ScenarioException.java
+++ b/lab/src/main/java/calicochute/lab/scenario/ScenarioException.java
@@ -1,9 +1,11 @@
 package calicochute.lab.scenario;
 
+import calicochute.errors.Code;
+import calicochute.errors.CheckedFault;
 import java.util.List;
 
 /** A scenario that can't be used, with every fault found in it. */
-public final class ScenarioException extends Exception {
+public final class ScenarioException extends CheckedFault {
     private static final long serialVersionUID = 1L;
     private final transient List<Complaint> complaints;
 
@@ -16,7 +18,7 @@
     }
 
     public ScenarioException(List<Complaint> complaints) {
-        super(String.join("\n", complaints.stream().map(Complaint::toString).toList()));
+        super(Code.SCENARIO, "", String.join("\n", complaints.stream().map(Complaint::toString).toList()), null);
         this.complaints = List.copyOf(complaints);
     }
 
