The decisions are a module of their own, split by what they decide; same decisions

Change: module `decision` (no dependencies), with its tests; `balancer` depends on it and the build line makes it along (-am). Choice keeps the events and the way of a request; Pick, Walk, Legality, ColdStarts, Estimates, Admission, Retries and Subset each hold one kind of decision and no state. State is plain data: Known, and what was in Track (Server, Seen, Request, Attempt). Server.rank's hash, which orders the subset, went from Track into Subset, so that it is still counted. What repeated is written once: the age that bounds a speed (alone, withdraw), whether an effect may run again (effectAllows, mayRefuse, pick), whether an attempt is owed (dispatch, maySend), the limit's ease (pick, aim), the last softmax of pick and walk.

--- a/balancer/src/main/java/calicochute/decision/Balancer.java
+++ b/decision/src/main/java/calicochute/decision/Balancer.java
@@ -9,7 +9,7 @@
 public interface Balancer {
     /** A new instance; instances share nothing. */
     static Balancer create(Settings settings) {
-        return new Choice(settings);
+        return Choice.of(settings);
     }
 
     /** Handles one event; what is to be done is called on {@code actions} before this returns. */
--- a/balancer/src/main/java/calicochute/decision/Handover.java
+++ b/decision/src/main/java/calicochute/decision/Handover.java
@@ -1,7 +1,5 @@
 package calicochute.decision;
 
-import calicochute.decision.Track.Seen;
-import calicochute.decision.Track.Server;
 import java.util.TreeMap;
 
 /** Moves what a module has learnt to the one that takes over; decides nothing. */
@@ -11,11 +9,12 @@
 
     /** What the module knows as it counts now: aged, and bounded by the attempts that are out. */
     public static Learnt of(Balancer balancer) {
-        Choice from = (Choice) balancer;
+        Estimates estimates = ((Choice) balancer).estimates();
+        Known from = estimates.known();
         var servers = new TreeMap<String, Learnt.OfServer>();
         for (Server s : from.servers.values()) {
             // Without the discount for the attempts out: the other module has none.
-            servers.put(s.id, new Learnt.OfServer(from.effective(s) * (1 + Choice.CROWD * s.out), s.polled,
+            servers.put(s.id, new Learnt.OfServer(estimates.effective(s) * (1 + Estimates.CROWD * s.out), s.polled,
                 s.entry.startedAt()));
         }
         var classes = new TreeMap<String, Learnt.OfClass>();
@@ -27,7 +26,7 @@
 
     /** Takes it over as if learnt {@code age} ago, where this module has learnt nothing itself; after its list. */
     public static void recall(Balancer balancer, Learnt learnt, long nowMicros, long age) {
-        Choice to = (Choice) balancer;
+        Known to = ((Choice) balancer).known();
         learnt.servers().forEach((id, known) -> {
             Server s = to.servers.get(id);
             if (s != null && !s.polled && known.polled() && s.entry.startedAt() == known.startedAt()) {
--- a/balancer/src/test/java/calicochute/decision/EdgeTest.java
+++ b/decision/src/test/java/calicochute/decision/EdgeTest.java
@@ -20,8 +20,6 @@
 import calicochute.decision.Balancer.RequestClass;
 import calicochute.decision.Balancer.Retuned;
 import calicochute.decision.Balancer.Settings;
-import calicochute.decision.Track.Seen;
-import calicochute.decision.Track.Server;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -59,15 +57,17 @@
     }
 
     private static void mustBeFinite(Choice c) {
-        for (Server s : c.servers.values()) {
-            assertTrue(Double.isFinite(s.speed) && s.speed >= 0 && Double.isFinite(c.effective(s)) && c.effective(s) > 0
+        for (Server s : c.known().servers.values()) {
+            double effective = c.estimates().effective(s);
+            assertTrue(Double.isFinite(s.speed) && s.speed >= 0 && Double.isFinite(effective) && effective > 0
                 && Double.isFinite(s.allowance), () -> s.id + " " + s.speed + " " + s.allowance);
         }
-        for (Seen s : c.named.values()) {
+        for (Seen s : c.known().named.values()) {
             assertTrue(Double.isFinite(s.latency) && s.latency >= 0 && Double.isFinite(s.base) && s.answers >= 0
                 && s.votes >= 0, () -> s.latency + " " + s.base + " " + s.answers + " " + s.votes);
         }
-        for (double value : new double[] {c.limit, c.typical, c.warmRate, c.answerRate, c.retryTokens}) {
+        Known k = c.known();
+        for (double value : new double[] {k.limit, k.typical, k.warmRate, k.answerRate, k.retryTokens}) {
             assertTrue(Double.isFinite(value) && value >= 0, () -> "" + value);
         }
     }
@@ -81,18 +81,18 @@
         for (int i = 0; i < 80; i++) {
             one(f, Outcome.OK, 3 * SECOND);
         }
-        assertTrue(f.choice.limit < 100, "the limit still follows answers: " + f.choice.limit);
+        assertTrue(f.choice.known().limit < 100, "the limit still follows answers: " + f.choice.known().limit);
     }
 
     /** State noted by an older process, or a host's clock: an estimate from the future counts as one of now. */
     @Test
     void anEstimateFromTheFutureIsNoOlderThanNow() {
         Fixture f = steady(2);
-        Server s = f.choice.servers.get("b0");
+        Server s = f.choice.known().servers.get("b0");
         s.speed = 0.5;
         for (long ahead : new long[] {1, SECOND, 100 * SECOND, 100_000 * SECOND}) {
             s.sampledAt = f.now + ahead;
-            assertEquals(0.5, f.choice.effective(s), 1e-9, "ahead by " + ahead);
+            assertEquals(0.5, f.choice.estimates().effective(s), 1e-9, "ahead by " + ahead);
         }
     }
 
@@ -108,7 +108,7 @@
 
     private void goodAnswerAfterASilence() {
         Fixture f = steady(4);
-        Server s = f.choice.servers.get("b0");
+        Server s = f.choice.known().servers.get("b0");
         s.speed = 0;
         f.now += 40 * SECOND;
         for (f.arrive(nextRequest++, 4 * SECOND); !f.lastBackend().equals("b0"); f.arrive(nextRequest++, 4 * SECOND)) {
@@ -116,16 +116,16 @@
             f.outcome(0, Outcome.OK, 100_000);
         }
         f.now += 100_000;
-        double before = f.choice.effective(s) * (1 + Choice.CROWD);
+        double before = f.choice.estimates().effective(s) * (1 + Estimates.CROWD);
         f.outcome(0, Outcome.OK, 100_000);
-        assertTrue(f.choice.effective(s) >= before, before + " became " + f.choice.effective(s));
+        assertTrue(f.choice.estimates().effective(s) >= before, before + " became " + f.choice.estimates().effective(s));
     }
 
     /** Counts that only grow must not turn over: in daily service they are never set back. */
     @Test
     void countsDoNotTurnOver() {
         Fixture f = steady(1);
-        Seen seen = f.choice.named.get("c");
+        Seen seen = f.choice.known().named.get("c");
         for (int count : new int[] {Integer.MAX_VALUE, -1, Integer.MIN_VALUE}) {
             seen.answers = Math.max(seen.answers, count);
             seen.votes = Math.max(seen.votes, count);
@@ -169,7 +169,7 @@
         Fixture f = steady(6);
         Map<String, Integer> got = new HashMap<>();
         for (int i = 0; i < 6000; i++) {
-            f.choice.servers.values().forEach(s -> {
+            f.choice.known().servers.values().forEach(s -> {
                 s.speed = s.id.equals("b0") ? 1.6 : s.id.equals("b1") ? 1.5 : 0.3;
                 s.sampledAt = f.now + 100_000;
             });
@@ -188,7 +188,7 @@
             f.on(new ClientGone(nextRequest++));
             f.outcome(0, Outcome.CANCELLED, 0);
         }
-        f.choice.limit = 8;
+        f.choice.known().limit = 8;
         for (int i = 0; i < 20; i++) {
             f.arrive(nextRequest++, 4 * SECOND);
         }
@@ -275,7 +275,7 @@
 
     /** Ends any attempt that is out. */
     private static void end(Fixture f, Random random) {
-        for (Server s : f.choice.servers.values()) {
+        for (Server s : f.choice.known().servers.values()) {
             if (s.oldest != null) {
                 Outcome[] all = Outcome.values();
                 Outcome how = all[random.nextInt(all.length)];
@@ -293,7 +293,7 @@
         for (int i = 0; i < 40; i++) {
             f.one(i + 1, Outcome.OK, 100_000);
         }
-        f.choice.servers.values().forEach(s -> s.speed = s.id.equals("b0") ? 0.02 : 1);
+        f.choice.known().servers.values().forEach(s -> s.speed = s.id.equals("b0") ? 0.02 : 1);
         f.sent.clear();
         for (int i = 0; i < 30; i++) {
             f.arrive(100 + i, 120_000);
@@ -309,18 +309,18 @@
         for (int i = 0; i < 100; i++) {
             f.one(i + 1, Outcome.OK, i < 40 ? 100_000 : 410_000);
         }
-        assertTrue(f.choice.limit < 1000, "limit " + f.choice.limit);
+        assertTrue(f.choice.known().limit < 1000, "limit " + f.choice.known().limit);
     }
 
     /** Own dispatches alone make headroom look small: what comes next is spread, not herded on one server as a walk would. */
     @Test
     void aCrowdOfOwnDispatchesIsNoLittleTime() {
         Fixture f = steady(4);
-        f.choice.servers.values().forEach(s -> s.speed = 1);
+        f.choice.known().servers.values().forEach(s -> s.speed = 1);
         for (int i = 0; i < 140; i++) {
             f.arrive(100 + i, 2_500_000);
         }
-        int most = f.choice.servers.values().stream().mapToInt(s -> s.out).max().orElseThrow();
+        int most = f.choice.known().servers.values().stream().mapToInt(s -> s.out).max().orElseThrow();
         assertTrue(most <= 37, most + " of 140 out at one of four alike");
     }
 }
--- a/balancer/src/test/java/calicochute/decision/Fixture.java
+++ b/decision/src/test/java/calicochute/decision/Fixture.java
@@ -43,7 +43,7 @@
     long now = 1000 * SECOND;
 
     Fixture(Settings settings) {
-        choice = new Choice(settings);
+        choice = Choice.of(settings);
     }
 
     static RequestClass requestClass(Effect effect, KeyScope scope) {
--- a/balancer/src/test/java/calicochute/decision/LockstepTest.java
+++ b/decision/src/test/java/calicochute/decision/LockstepTest.java
@@ -53,7 +53,7 @@
     void aFastServerIsNotTakenByAllAtOnce() {
         learnt(true);
         for (Fixture f : all) {
-            f.choice.servers.values().forEach(s -> s.speed = s.id.equals("b3") ? 1.04 : 1);
+            f.choice.known().servers.values().forEach(s -> s.speed = s.id.equals("b3") ? 1.04 : 1);
         }
         double share = greatestShare(4 * SECOND);
         double weight = Math.exp(0.04 / 1.04 / 0.07);
@@ -66,7 +66,7 @@
     void oneSeedForAllIsNoOneServerForAll() {
         learnt(false);
         for (Fixture f : all) {
-            f.choice.servers.values().forEach(s -> s.speed = 1);
+            f.choice.known().servers.values().forEach(s -> s.speed = 1);
         }
         assertTrue(greatestShare(4 * SECOND) < 0.5);
     }
@@ -76,7 +76,7 @@
     void tiesOfTheWalkDoNotFallOnOneServer() {
         learnt(true);
         for (Fixture f : all) {
-            f.choice.servers.values().forEach(s -> s.speed = 1);
+            f.choice.known().servers.values().forEach(s -> s.speed = 1);
         }
         assertTrue(greatestShare(120_000) < 0.5);
     }
--- a/balancer/src/test/java/calicochute/decision/MechanismTest.java
+++ b/decision/src/test/java/calicochute/decision/MechanismTest.java
@@ -33,7 +33,7 @@
     }
 
     private static double speed(Fixture f, String backend) {
-        return f.choice.servers.get(backend).speed;
+        return f.choice.known().servers.get(backend).speed;
     }
 
     @Test
@@ -138,8 +138,8 @@
         int picked = 0;
         int draws = 4000;
         for (int i = 0; i < draws; i++) {
-            double a = f.choice.effective(f.choice.servers.get("b0"));
-            double b = f.choice.effective(f.choice.servers.get("b1"));
+            double a = f.choice.estimates().effective(f.choice.known().servers.get("b0"));
+            double b = f.choice.estimates().effective(f.choice.known().servers.get("b1"));
             double best = Math.max(a, b);
             double ea = Math.exp(a / best / tau);
             double eb = Math.exp(b / best / tau);
@@ -326,7 +326,7 @@
         for (int i = 0; i < 200; i++) {
             one(f, i % 4 == 0 ? Outcome.CONNECT_FAILED : i % 4 == 2 ? Outcome.TIMED_OUT : Outcome.OK,
                 i % 4 == 0 ? 1_000 : i % 4 == 2 ? SECOND : 100_000);
-            for (int n = 1; n < f.sent.size() && f.choice.servers.get("b0").out > 0; n++) {
+            for (int n = 1; n < f.sent.size() && f.choice.known().servers.get("b0").out > 0; n++) {
                 f.outcome(n, Outcome.OK, 100_000);
             }
         }
@@ -566,8 +566,8 @@
         assertEquals(learnt.servers().get("b1").speed(), speed(next, "b1"));
         Fixture late = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS)).list(fleet(3));
         Handover.recall(late.choice, learnt, late.now, 100 * SECOND);
-        assertEquals(late.choice.typical, late.choice.effective(late.choice.servers.get("b1")), 0.01, "mostly forgotten since");
-        assertTrue(!next.choice.servers.get("b2").polled, "started since: not the server that was known");
+        assertEquals(late.choice.known().typical, late.choice.estimates().effective(late.choice.known().servers.get("b1")), 0.01, "mostly forgotten since");
+        assertTrue(!next.choice.known().servers.get("b2").polled, "started since: not the server that was known");
         int slow = 0;
         for (int i = 0; i < 50; i++) {
             slow += oneOn(next).equals("b1") ? 1 : 0;
--- a/balancer/src/test/java/calicochute/decision/PropertyTest.java
+++ b/decision/src/test/java/calicochute/decision/PropertyTest.java
@@ -79,7 +79,7 @@
                         1, seed % 3 == 0 ? 0 : 0.3, true));
                 }
             }
-            choice = new Choice(Fixture.settings(classes, limits));
+            choice = Choice.of(Fixture.settings(classes, limits));
         }
 
         void run() {
