--- a/lab/src/main/java/calicochute/lab/cli/RunCommand.java
+++ b/lab/src/main/java/calicochute/lab/cli/RunCommand.java
@@ -1,6 +1,7 @@
 package calicochute.lab.cli;
 
 import calicochute.cli.CommandLine;
+import calicochute.lab.experiment.FieldChange;
 import calicochute.lab.experiment.Runner;
 import calicochute.lab.result.RunResult;
 import calicochute.lab.scenario.Scenario;
@@ -19,6 +20,10 @@
     @Parameter(names = "--out", description = "The folder for the result (default: lab-results/<scenario>-<seed>)")
     private String out;
 
+    @Parameter(names = "--balancers", description = "How many balancers clients send to, in place of the scenario's;"
+        + " each server that calls on has one of its own beside them")
+    private Integer balancers;
+
     @ParametersDelegate
     private final RunOptions options = new RunOptions();
 
@@ -26,6 +31,9 @@
     public void run() throws Exception {
         Path file = Path.of(scenario);
         Scenario read = ScenarioReader.read(file);
+        if (balancers != null) {
+            read = new FieldChange("balancers.count", balancers.toString()).apply(scenario, ScenarioReader.write(read));
+        }
         Path folder = out != null ? Path.of(out) : folder(file, options.seed);
         judge(play(read, options, folder));
     }
--- a/lab/src/main/java/calicochute/lab/emulator/Outcome.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Outcome.java
@@ -1,5 +1,6 @@
 package calicochute.lab.emulator;
 
+import calicochute.lab.evenness.Dispatch;
 import calicochute.lab.plan.BalancerSpec;
 import calicochute.lab.plan.Deployment;
 import calicochute.lab.plan.TroublePlan;
@@ -14,12 +15,15 @@
  * @param startedAt Unix time in microseconds of the first planned request
  * @param lateness how late the lab's own timers ran, microseconds at the 50th, 99th and 100th percentile
  * @param labCpu cores that emulator and load needed in the mean
+ * @param datagrams between balancers, by what became of them; none where they don't talk
+ * @param sent each dispatch by tier, with Unix times
  */
 public record Outcome(Deployment deployment, long seed, String ended, long startedAt, long length, List<Root> roots,
                       List<TroublePlan> troubles, List<ServerSample> servers,
                       Map<BalancerSpec, List<BalancerSample>> balancers, Map<BalancerSpec, Map<String, Long>> counters,
                       List<Breach> breaches, long[] lateness, double labCpu, long probes, long dispatches,
-                      long crossings, BadClientCount badClients) {
+                      long crossings, BadClientCount badClients, Map<String, Long> datagrams,
+                      List<List<Dispatch>> sent) {
 
     /** A server's second: what it held at its end, and what came in it. */
     public record ServerSample(long at, String server, int tier, int inWork, int inQueue, long dispatches,
--- a/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
+++ b/lab/src/main/java/calicochute/lab/emulator/OverheadRun.java
@@ -89,7 +89,7 @@
             BalancerSpec spec = site.deployment.balancers().get(0);
             Settings settings = new Settings(site);
             balancer = new BalancerHost(site, spec, folder, start, (s, listen, n) ->
-                settings.configuration(s, listen, discovery.at(s), 1, discovery.known(s)));
+                settings.configuration(s, listen, discovery.at(s), 1, discovery.known(s)), s -> java.util.Map.of());
             CountDownLatch ready = new CountDownLatch(1);
             balancer.listeners(b -> ready.countDown(), why -> System.err.println(why));
             site.world.post(balancer::start);
--- a/lab/src/main/java/calicochute/lab/emulator/Site.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Site.java
@@ -1,6 +1,7 @@
 package calicochute.lab.emulator;
 
 import calicochute.lab.chance.Streams;
+import calicochute.lab.evenness.Dispatch;
 import calicochute.lab.plan.BalancerSpec;
 import calicochute.lab.plan.Deployment;
 import calicochute.lab.referee.ClassRule;
@@ -14,8 +15,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.UnknownHostException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -30,6 +33,9 @@
     final Referee referee;
     final Map<String, Request> requests = new HashMap<>();
     final Set<String> cutZones = new HashSet<>();
+    /** Every dispatch that came to a server, by tier, in order. */
+    final List<List<Dispatch>> dispatches = new ArrayList<>();
+    private final Map<String, Integer> balancerNumbers = new HashMap<>();
     /** Requests of all tiers whose caller still waits, those of clients as well as those of servers. */
     int awaited;
     /** No client waits any more and none will: servers make no further calls. */
@@ -44,6 +50,8 @@
         this.streams = streams;
         referee = new Referee(scenario.discovery().grace().micros() + Settings.SOCKET_SLACK);
         ids = streams.of("ids", 0);
+        scenario.tiers().forEach(t -> dispatches.add(new ArrayList<>()));
+        deployment.balancers().forEach(b -> balancerNumbers.put(b.name(), balancerNumbers.size()));
         // A loopback network for each process, so that two labs at once don't take each other's ports.
         long pid = ProcessHandle.current().pid();
         network = new byte[] {127, (byte) (16 + pid / 256 % 100), (byte) pid, 0};
@@ -79,6 +87,12 @@
         return request;
     }
 
+    /** Notes a dispatch; {@code first} where the balancer had not sent the request before. */
+    void sent(long at, Request request, int server, boolean first) {
+        dispatches.get(request.tier()).add(new Dispatch(at, balancerNumbers.get(request.balancer().name()), server,
+            first));
+    }
+
     RequestClass classOf(Root root) {
         return scenario.classes().get(root.arrival.classIndex());
     }
--- a/lab/src/main/java/calicochute/lab/emulator/Troubles.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Troubles.java
@@ -1,6 +1,7 @@
 package calicochute.lab.emulator;
 
 import calicochute.lab.discovery.Directory.State;
+import calicochute.lab.network.Fault;
 import calicochute.lab.plan.TroublePlan;
 import calicochute.lab.scenario.Trouble;
 import calicochute.lab.server.MachineSpec;
@@ -20,15 +21,18 @@
     private final DiscoveryHost discovery;
     private final ClientHost clients;
     private final BadClients badClients;
+    /** Null where balancers don't talk to each other. */
+    private final FleetHost fleet;
 
     Troubles(Site site, Map<String, ServerHost> servers, Map<String, BalancerHost> balancers,
-             DiscoveryHost discovery, ClientHost clients, BadClients badClients) {
+             DiscoveryHost discovery, ClientHost clients, BadClients badClients, FleetHost fleet) {
         this.site = site;
         this.servers = servers;
         this.balancers = balancers;
         this.discovery = discovery;
         this.clients = clients;
         this.badClients = badClients;
+        this.fleet = fleet;
     }
 
     void schedule(List<TroublePlan> plans, long start) {
@@ -63,6 +67,15 @@
                 case BALANCER_KILL -> plan.victims().forEach(b -> world.at(from, () -> kill(balancers.get(b), to)));
                 case BALANCER_RESTART -> plan.victims().forEach(b ->
                     world.at(from, () -> restart(balancers.get(b))));
+                case BALANCER_PAUSE -> plan.victims().forEach(b -> {
+                    world.at(from, () -> pause(balancers.get(b)));
+                    world.at(to, () -> resume(balancers.get(b)));
+                });
+                case NET_LOSS, NET_DELAY, NET_CUT, NET_SPLIT, NET_SLOW_PEER -> {
+                    Fault fault = fleet.fault(plan);
+                    world.at(from, () -> fleet.begin(fault));
+                    world.at(to, () -> fleet.end(fault));
+                }
                 case BAD_CLIENTS -> world.at(from, () -> badClients(trouble, from, to, 0));
                 case JUMP -> {
                     // Drawn with the arrivals.
@@ -158,6 +171,25 @@
         site.world.at(until, balancer::start);
     }
 
+    private void pause(BalancerHost balancer) {
+        balancer.pause(true);
+        if (balancer.spec().owner() == null) {
+            site.world.after(site.scenario.clients().notice().micros(), () -> {
+                if (balancer.paused()) {
+                    clients.leaveOut(balancer);
+                }
+            });
+        }
+    }
+
+    private void resume(BalancerHost balancer) {
+        boolean was = balancer.paused();
+        balancer.pause(false);
+        if (was && balancer.spec().owner() == null) {
+            clients.takeIn(balancer);
+        }
+    }
+
     private void restart(BalancerHost balancer) {
         site.world.after(FRONT_KEEPS, () -> clients.leaveOut(balancer));
         balancer.stop(balancer::start);
--- a/lab/src/main/java/calicochute/lab/report/Report.java
+++ b/lab/src/main/java/calicochute/lab/report/Report.java
@@ -64,6 +64,7 @@
             section(page, "Memory of balancers", charts.balancers("MB", RunResult.BalancerSecond::memoryMb));
         }
         troubles(page, result);
+        result.evenness().forEach(e -> EvennessTables.write(page, e));
         figures(page, result);
         return page.append("</html>\n").toString();
     }
@@ -104,7 +105,7 @@
         page.append("</table></div>");
     }
 
-    private static String escape(String text) {
+    static String escape(String text) {
         return text == null ? "" : text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
     }
 }
--- a/lab/src/main/java/calicochute/lab/result/Measured.java
+++ b/lab/src/main/java/calicochute/lab/result/Measured.java
@@ -3,6 +3,7 @@
 import calicochute.lab.emulator.Emulation;
 import calicochute.lab.emulator.Outcome;
 import calicochute.lab.emulator.Root;
+import calicochute.lab.evenness.Evenness;
 import calicochute.lab.result.RunResult.BalancerSecond;
 import calicochute.lab.result.RunResult.BreachLine;
 import calicochute.lab.result.RunResult.Dispatches;
@@ -58,12 +59,15 @@
             balancers.add(new BalancerSecond(s.at() / 1e6, b.name(), s.cores(), s.resident() / 1e6))));
         Map<String, Long> counters = new TreeMap<>();
         outcome.counters().values().forEach(c -> c.forEach((name, count) -> counters.merge(name, count, Long::sum)));
+        List<Evenness> evenness = new Evenly(outcome).tiers();
+        Evenly.figures(evenness, figures);
+        outcome.datagrams().forEach((what, count) -> figures.put("datagrams_" + what, (double) count));
         String invalid = outcome.lateness()[1] <= LATENESS_BOUND ? null : String.format(Locale.ROOT,
             "the lab's own timers ran %.1f ms late at the 99th percentile; %.0f ms are allowed",
             outcome.lateness()[1] / 1e3, LATENESS_BOUND / 1e3);
         return new RunResult(RunResult.VERSION, scenario.title(), scenario.shows(), outcome.seed(),
             outcome.length() / 1e6, outcome.ended(), invalid, figures, bands, breaches, seconds, latencies, servers,
-            balancers, dispatches(), counters);
+            balancers, dispatches(), counters, evenness);
     }
 
     private List<Second> seconds() {
--- a/lab/src/main/java/calicochute/lab/result/RunResult.java
+++ b/lab/src/main/java/calicochute/lab/result/RunResult.java
@@ -1,5 +1,6 @@
 package calicochute.lab.result;
 
+import calicochute.lab.evenness.Evenness;
 import java.util.List;
 import java.util.Map;
 
@@ -14,9 +15,14 @@
                         String invalid, Map<String, Double> figures, List<TroubleBand> troubles,
                         List<BreachLine> breaches, List<Second> seconds, List<Latency> latencies,
                         List<ServerSecond> servers, List<BalancerSecond> balancers, List<Dispatches> dispatches,
-                        Map<String, Long> counters) {
+                        Map<String, Long> counters, List<Evenness> evenness) {
     public static final int VERSION = 1;
 
+    public RunResult {
+        // Results kept from before they had it.
+        evenness = evenness == null ? List.of() : evenness;
+    }
+
     /** Whether its figures may be used. */
     public boolean counts() {
         return ended == null && invalid == null;
--- a/lab/src/main/java/calicochute/lab/server/ServerModel.java
+++ b/lab/src/main/java/calicochute/lab/server/ServerModel.java
@@ -76,12 +76,14 @@
     public record Load(int inflight, long taken) {
     }
 
-    public ServerModel(MachineSpec spec, UniformRandomProvider noise, double fallMultiple, long fallSpan, long now) {
+    /** @param meanWork of a request at this machine, in microseconds */
+    public ServerModel(MachineSpec spec, UniformRandomProvider noise, double fallMultiple, long fallSpan,
+                       double meanWork, long now) {
         this.spec = spec;
         kind = spec.kind();
         this.noise = noise;
         sluggish = new SluggishState(kind.sluggish());
-        budget = new ColdBudget(fallMultiple, fallSpan);
+        budget = new ColdBudget(fallMultiple, fallSpan, meanWork);
         last = now;
     }
 
--- a/lab/src/test/java/calicochute/lab/plan/PlanTest.java
+++ b/lab/src/test/java/calicochute/lab/plan/PlanTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class PlanTest {
@@ -90,6 +91,20 @@
         assertEquals(deployment.machines(0).stream().map(m -> m.id()).toList(), owners);
     }
 
+    /** Victims of the network's troubles are of the named tier, else of all; the far end of a cut is others of it. */
+    @Test
+    void networkTroublesDrawTheirEndsApart() throws Exception {
+        List<TroublePlan> plans = TroublePlan.draw(Deployment.draw(scenario(""), new Streams(3)), new Streams(3));
+        TroublePlan cut = plans.get(6);
+        assertEquals(1, cut.victims().size());
+        assertEquals(2, cut.others().size());
+        assertTrue(cut.victims().stream().noneMatch(cut.others()::contains));
+        Stream.concat(cut.victims().stream(), cut.others().stream()).forEach(b -> assertTrue(b.startsWith("b1-"), b));
+        assertEquals(2, plans.get(7).victims().size());
+        assertEquals(1, TroublePlan.draw(Deployment.draw(scenario(""), new Streams(3)), new Streams(3)).get(3).victims()
+            .stream().filter(b -> b.startsWith("b0-")).count());
+    }
+
     @Test
     void victimsOfARollingDrainEndOneAfterAnother() throws Exception {
         TroublePlan drain = TroublePlan.draw(Deployment.draw(scenario(""), new Streams(3)), new Streams(3)).get(4);
--- a/lab/src/test/java/calicochute/lab/process/RefereeCatchesTest.java
+++ b/lab/src/test/java/calicochute/lab/process/RefereeCatchesTest.java
@@ -1,6 +1,7 @@
 package calicochute.lab.process;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
@@ -10,9 +11,11 @@
 import calicochute.lab.referee.Breach;
 import calicochute.lab.referee.Rule;
 import calicochute.lab.scenario.ScenarioReader;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.Test;
@@ -127,6 +130,32 @@
             + TROUBLES, Rule.PUSHED_OVER);
     }
 
+    /**
+     * Four balancers that talk to each other, one tier behind the other: datagrams pass within a tier, not through a
+     * split, and one that stands still on purpose is accused of nothing.
+     */
+    @Test
+    public void aFleetTalksThroughTheLab() throws Exception {
+        Outcome outcome = play("good", SCENARIO.replace("count: 1", "count: 2").replace(
+            "tiers: [{name: only, servers: 3, work: 1, ", "tiers: [{name: front, servers: 2, work: 0.5, calls: [1, 1], "
+                + "kinds: [{name: f, slots: 9}]}, {name: only, servers: 3, work: 0.5, ") + """
+            fleet: {state: true, experiments: [{name: e1}], network: {delay: 2ms}}
+            troubles:
+              - {kind: net-split, at: 500ms, lasts: 1s, tier: only, balancers: 1}
+              - {kind: balancer-pause, at: 1500ms, lasts: 500ms, balancers: 1}
+            """);
+        assertNull(outcome.ended(), outcome.ended());
+        assertEquals(List.of(), outcome.breaches());
+        assertTrue(outcome.datagrams().toString(), outcome.datagrams().get("cut") > 5
+            && outcome.datagrams().get("delivered") > 50 && outcome.datagrams().get("unknown") == 0);
+        Path work = Files.walk(folder.getRoot().toPath()).filter(p -> p.endsWith("b1-0.log")).findFirst().orElseThrow()
+            .getParent();
+        assertTrue(Files.readString(work.resolve("b1-0.log")).contains("heard n3 from"));
+        assertFalse(Files.readString(work.resolve("b1-0.log")).contains("heard n0 from"));
+        assertTrue(Files.readString(work.resolve("b1-0.json")).contains("\"peers\":true"));
+        assertTrue(Files.isDirectory(work.resolve("b1-0-state")));
+    }
+
     /** A balancer that ends by itself ends the run, which says so. */
     @Test
     public void aCrashIsReported() throws Exception {
--- a/lab/src/test/java/calicochute/lab/process/ScriptedBalancer.java
+++ b/lab/src/test/java/calicochute/lab/process/ScriptedBalancer.java
@@ -2,11 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -55,6 +58,9 @@
         list(config.get("known"));
         String[] listen = config.get("listen").asText().split(":");
         thread(() -> watch(config.get("discovery").asText().split(":")));
+        if (System.getenv("PROXY_FLEET") != null) {
+            thread(() -> talk(new YAMLMapper().readTree(new File(System.getenv("PROXY_FLEET")))));
+        }
         try (ServerSocket listener = new ServerSocket(Integer.parseInt(listen[1]), 200,
             InetAddress.getByName(listen[0]))) {
             while (true) {
@@ -64,6 +70,32 @@
         }
     }
 
+    /** Tells each of the others that it is there, and logs whom it hears. */
+    private static void talk(JsonNode fleet) throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(address(fleet.get("listen")))) {
+            thread(() -> {
+                DatagramPacket heard = new DatagramPacket(new byte[100], 100);
+                while (true) {
+                    socket.receive(heard);
+                    System.out.println("heard " + new String(heard.getData(), 0, heard.getLength()) + " from "
+                        + heard.getSocketAddress());
+                }
+            });
+            while (true) {
+                for (JsonNode peer : fleet.get("peers")) {
+                    byte[] me = fleet.get("me").asText().getBytes();
+                    socket.send(new DatagramPacket(me, me.length, address(peer.get("address"))));
+                }
+                Thread.sleep(50);
+            }
+        }
+    }
+
+    private static InetSocketAddress address(JsonNode text) {
+        String[] at = text.asText().split(":");
+        return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+    }
+
     private interface Work {
         void run() throws Exception;
     }
