--- a/lab/src/test/java/calicochute/lab/process/LabCommandTest.java
+++ b/lab/src/test/java/calicochute/lab/process/LabCommandTest.java
@@ -80,6 +80,12 @@
         assertTrue(output(), output().contains(file + ":4: length: ") && output().contains("750ms"));
     }
 
+    @Test
+    public void moreBalancersThanARunHoldsAreRefused() throws Exception {
+        assertEquals(1, run("lab", "run", scenario("1s").toString(), "--balancers", "401"));
+        assertTrue(output(), output().contains("balancers.count") && output().contains("between 1 and 400"));
+    }
+
     /** run, replay, compare, sweep and report over one small scenario. */
     @Test
     public void anExperimentFromRunToComparison() throws Exception {
@@ -87,17 +93,21 @@
         Path out = folder.newFolder().toPath();
         String command = RefereeCatchesTest.command("good");
         // Whether a run counts depends on how late a shared machine lets the lab's timers run.
-        int ran = run("lab", "run", file.toString(), "--out", out + "/a", "--seed", "3", "--balancer-command", command);
+        int ran = run("lab", "run", file.toString(), "--out", out + "/a", "--seed", "3", "--balancer-command", command,
+            "--balancers", "2");
         RunResult result = RunFolder.read(out.resolve("a"));
         assertEquals(output(), result.counts() ? 0 : 1, ran);
         assertEquals(3, result.seed());
         assertEquals(List.of(), result.breaches());
         assertTrue(result.figures().get("requests") > 30);
+        assertTrue(result.balancers().stream().anyMatch(b -> b.balancer().equals("b0-1")));
+        assertTrue(result.evenness().get(0).windows().get(0).dispatches() > 30);
+        assertTrue(result.figures().get("load_most_only") >= 1);
         for (String table : List.of("seconds", "servers", "balancers", "latencies", "figures", "dispatches")) {
             assertTrue(table, Files.readAllLines(out.resolve("a/" + table + ".csv")).size() > 1);
         }
         String page = Files.readString(out.resolve("a/report.html"));
-        assertTrue(page.contains("<svg") && page.contains("All rules were kept") && !page.contains("src="));
+        assertTrue(page.contains("<svg") && page.contains("All rules were kept") && page.contains("How even the load was: only") && !page.contains("src="));
         Files.delete(out.resolve("a/report.html"));
         assertEquals(0, run("lab", "report", out + "/a"));
         assertTrue(Files.exists(out.resolve("a/report.html")));
