--- a/outcomes/src/main/java/calicochute/outcomes/Board.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Board.java
@@ -58,11 +58,23 @@
         return held == null ? null : held.row;
     }
 
-    void forget(long before) {
-        rows.values().forEach(of -> of.headMap(before).clear());
+    /** Others go: too old, or of a time before this clock was put back. */
+    void keep(long oldest, long newest) {
+        rows.values().forEach(of -> {
+            of.headMap(oldest).clear();
+            of.tailMap(newest, false).clear();
+        });
         rows.values().removeIf(TreeMap::isEmpty);
     }
 
+    /** Other subjects are known now: of those that are not only a few are held on. */
+    void named() {
+        long over = unknown() - limits.unknown();
+        if (over > 0) {
+            rows.keySet().removeIf(hash -> names.of(hash) == null);
+        }
+    }
+
     List<Row> known() {
         List<Row> list = new ArrayList<>();
         rows.forEach((hash, of) -> {
--- a/outcomes/src/main/java/calicochute/outcomes/Ledger.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Ledger.java
@@ -18,6 +18,7 @@
     private final Windows windows;
     private final long longestDeadline;
     private final int subjects;
+    private final int ahead;
     private final TreeMap<Long, Open> open = new TreeMap<>();
     private final TreeSet<Long> closed = new TreeSet<>();
     private final Counts counts = new Counts();
@@ -43,6 +44,7 @@
         this.windows = windows;
         this.longestDeadline = longestDeadline;
         this.subjects = limits.subjects();
+        this.ahead = limits.ahead();
     }
 
     /** A session begins: the number of its window, for {@link #count} and {@link #over}. One that was told already stays as it was, should the clock go back. */
@@ -98,22 +100,29 @@
         List<Closed> whole = new ArrayList<>();
         for (Iterator<Map.Entry<Long, Open>> i = open.entrySet().iterator(); i.hasNext();) {
             Map.Entry<Long, Open> next = i.next();
-            long end = windows.end(next.getKey());
-            boolean over = now >= end && (next.getValue().sessions == 0 || now - end >= longestDeadline);
+            long window = next.getKey();
+            Open of = next.getValue();
+            if (window > windows.number(now) + ahead) {
+                counts.add(Cause.CLOCK_OFF);    // this clock was put back: when that time comes again the outcomes are old
+                i.remove();
+                continue;
+            }
+            long end = windows.end(window);
+            boolean over = now >= end && (of.sessions == 0 || now - end >= longestDeadline);
             if (!over && open.size() > WINDOWS) {
                 counts.add(Cause.FORCED);
                 over = true;
             }
             if (over) {
                 i.remove();
-                closed.add(next.getKey());
+                closed.add(window);
                 if (closed.size() > 2 * WINDOWS) {
                     closed.pollFirst();
                 }
-                if (!next.getValue().cells.isEmpty()) {
+                if (!of.cells.isEmpty()) {
                     Map<Subject, Tally> tallies = new HashMap<>();
-                    next.getValue().cells.forEach((subject, cell) -> tallies.put(subject, new Tally(cell.ends, cell.logs, cell.squares, cell.speeds)));
-                    whole.add(new Closed(next.getKey(), tallies));
+                    of.cells.forEach((subject, cell) -> tallies.put(subject, new Tally(cell.ends, cell.logs, cell.squares, cell.speeds)));
+                    whole.add(new Closed(window, tallies));
                 }
             }
         }
--- a/outcomes/src/main/java/calicochute/outcomes/Limits.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Limits.java
@@ -5,7 +5,7 @@
  *
  * @param body bytes of one body
  * @param subjects of one origin in one window, and known ones
- * @param unknown subjects that rows are held of though no list has named them (yet)
+ * @param unknown subjects that rows are held of, and tallies in each window, though no list has named them (yet)
  * @param counts dispatches of one origin to one subject in a window
  * @param witnesses of one subject in a window
  * @param entries tallies held as an owner, over all windows (about 170 bytes each)
@@ -16,8 +16,8 @@
  * @param resend microseconds after which a report is sent again
  * @param sends how often it is sent in all
  * @param settle microseconds from the first report of a window to its first rows
- * @param gap microseconds between two publications of the same rows (half of it after the first)
- * @param rate bytes a second that this balancer publishes at most, to all peers together
+ * @param gap microseconds between two publications of the same rows by the first two owners in turn (half of it after the first)
+ * @param rate bytes a second that this balancer publishes at most, to all peers together: news first
  */
 public record Limits(int body, int subjects, int unknown, long counts, int witnesses, int entries, int rows, int ahead, int behind, int cap,
         long resend, int sends, long settle, long gap, long rate) {
--- a/outcomes/src/main/java/calicochute/outcomes/Names.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Names.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Which subject a hash stands for: those of lists and settings, and those that this balancer itself counted last. */
 final class Names {
@@ -29,6 +31,10 @@
         }
     }
 
+    Set<String> servers() {
+        return known.values().stream().map(Subject::server).collect(Collectors.toSet());
+    }
+
     long own(Subject subject) {
         long hash = subject.hash();
         if (own.get(hash) == null || !own.get(hash).equals(subject)) {
--- a/outcomes/src/main/java/calicochute/outcomes/Picture.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Picture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -44,14 +45,14 @@
         }
     }
 
-    /** All rows held of the last windows, by subject and then by window. */
+    /** All rows held of the last windows, those of a subject one after the other. */
     public Collection<Row> rows(long now) {
         return rows.stream().filter(r -> windows.number(now) - r.window() <= Limits.USUAL.behind()).toList();
     }
 
     /** Of each subject the row of the newest window. */
     public Map<Subject, Row> newest(long now) {
-        Map<Subject, Row> newest = new java.util.HashMap<>();
+        Map<Subject, Row> newest = new HashMap<>();
         rows(now).forEach(r -> newest.merge(r.subject(), r, (a, b) -> a.window() > b.window() ? a : b));
         return newest;
     }
--- a/outcomes/src/main/java/calicochute/outcomes/Sharing.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Sharing.java
@@ -12,10 +12,12 @@
 
 /**
  * One balancer's part in sharing: it reports each window it closed to the owners of its servers, adds up as an owner what others report, publishes the sums, and
- * reads the rows of all. Reports are sent again once, unchanged, since datagrams are lost; the first two owners publish, the third where they do not. Times are
- * microseconds of the wall clock. Used on one thread.
+ * reads the rows of all. Reports to the first two owners are sent again once, unchanged, since datagrams are lost; these two publish, the third where they do
+ * not. Times are microseconds of the wall clock. Used on one thread.
  */
 public final class Sharing {
+    /** Owners of a server that publish in any case; the others where these do not. */
+    private static final int PUBLISHING = 2;
     private static final int WAITING = 4096;
     /** What a datagram costs besides its body, for {@link Limits#rate}. */
     private static final int ENVELOPE = 60;
@@ -34,6 +36,7 @@
     private final Board board;
     private final ArrayDeque<Again> again = new ArrayDeque<>();
     private Owners owners;
+    private long kept = Long.MIN_VALUE;
     private double credit;
     private long credited = Long.MIN_VALUE;
 
@@ -51,33 +54,40 @@
         names = new Names(limits, counts);
         witnesses = new Witnesses(limits, counts);
         board = new Board(limits, names, counts);
-        owners = new Owners(Set.of(me.id()));
+        owners = new Owners(Set.of(me.id()), Set.of());
     }
 
     /** The subjects that rows may name: every listed start of a server with every class and arm. Rows of others are held, a few, until a list names them. */
     public void known(Collection<Subject> subjects) {
         names.known(subjects);
+        board.named();
+        owners = new Owners(owners.live(), names.servers());
     }
 
     /** A window of this balancer's own is whole. */
     public void closed(long now, Closed closed) {
         look();
-        Map<String, List<Bodies.Entry>> to = new TreeMap<>();
-        closed.tallies().forEach((subject, tally) -> {
-            long hash = names.own(subject);
+        Map<String, List<Bodies.Entry>> first = new TreeMap<>();
+        Map<String, List<Bodies.Entry>> spare = new TreeMap<>();
+        Map<Long, Subject> inTurn = new TreeMap<>();    // a copied map's own order is another in each process
+        closed.tallies().keySet().forEach(subject -> inTurn.put(names.own(subject), subject));
+        inTurn.forEach((hash, subject) -> {
+            Tally tally = closed.tallies().get(subject);
             if (!tally.possible(limits.counts(), 1)) {
                 counts.add(Cause.IMPOSSIBLE);
                 return;
             }
-            for (String owner : owners.of(subject.server())) {
+            List<String> of = owners.of(subject.server());
+            for (String owner : of) {
                 if (owner.equals(me.id())) {
-                    witnesses.heard(now, me, closed.window(), hash, tally, this::spare);
+                    witnesses.heard(now, me, closed.window(), hash, tally, this::place);
                 } else {
-                    to.computeIfAbsent(owner, o -> new ArrayList<>()).add(new Bodies.Entry(hash, tally));
+                    (of.indexOf(owner) < PUBLISHING ? first : spare).computeIfAbsent(owner, o -> new ArrayList<>()).add(new Bodies.Entry(hash, tally));
                 }
             }
         });
-        to.forEach((owner, entries) -> Bodies.reports(closed.window(), entries, limits.body()).forEach(body -> send(now, owner, body, 1)));
+        first.forEach((owner, entries) -> Bodies.reports(closed.window(), entries, limits.body()).forEach(body -> send(now, owner, body, 1)));
+        spare.forEach((owner, entries) -> Bodies.reports(closed.window(), entries, limits.body()).forEach(body -> carrier.direct(owner, body)));
     }
 
     private void send(long now, String to, byte[] body, int sends) {
@@ -101,27 +111,36 @@
             }
         }
         long oldest = windows.number(now) - limits.behind();
-        witnesses.forget(oldest);
-        board.forget(oldest);
+        if (oldest != kept) {
+            kept = oldest;
+            witnesses.keep(oldest, windows.number(now) + limits.ahead());
+            board.keep(oldest, windows.number(now) + limits.ahead());
+        }
         publish(now);
     }
 
     private void look() {
-        Set<String> live = new HashSet<>(carrier.live());
-        live.add(me.id());
+        Set<String> live = carrier.live();
+        if (!live.contains(me.id())) {
+            live = new HashSet<>(live);
+            live.add(me.id());
+        }
         if (!owners.same(live)) {
-            owners = new Owners(live);
+            owners = new Owners(live, names.servers());
         }
     }
 
-    /** Whether this balancer is not one of the first two owners of that subject, as far as it knows. */
-    private boolean spare(long hash) {
+    /** Which owner of that subject this balancer is, as far as it knows: 0, 1, 2 for a spare one or none; -1: not known. */
+    private int place(long hash) {
         Subject subject = names.of(hash);
-        int place = subject == null ? -1 : owners.of(subject.server()).indexOf(me.id());
-        if (subject != null && place < 0) {
+        if (subject == null) {
+            return -1;
+        }
+        int place = owners.of(subject.server()).indexOf(me.id());
+        if (place < 0) {
             counts.add(Cause.NOT_OWNER);
         }
-        return place < 0 || place >= Owners.MANY - 1;
+        return place < 0 ? PUBLISHING : place;
     }
 
     private void publish(long now) {
@@ -131,8 +150,8 @@
             witnesses.windows().forEach((number, window) -> {
                 for (int i = 0; i < window.chunks.size(); i++) {
                     Witnesses.Chunk chunk = window.chunks.get(i);
-                    boolean due = chunk.due <= now || chunk.due > now + 4 * limits.settle() + limits.gap();
-                    if (due && (chunk.revision == 0) == first && chunk.changed()) {
+                    boolean due = chunk.due <= now || chunk.due > now + 4 * limits.settle() + 4 * limits.gap();
+                    if (due && chunk.changed() && chunk.news() == first) {
                         publish(now, number, i, chunk);
                     }
                 }
@@ -146,7 +165,7 @@
         for (Witnesses.Sum sum : chunk.sums) {
             Summed mine = sum.summed(limits.cap());
             Summed held = board.held(mine.hash(), window);
-            boolean wanted = !chunk.spare || held == null || held.witnesses() * 100L < mine.witnesses() * 95L;
+            boolean wanted = chunk.place < PUBLISHING || held == null || held.witnesses() * 100L < mine.witnesses() * 95L;
             needed |= sum.changed && wanted;
             if (wanted || sum.published) {
                 rows.add(mine);
@@ -164,7 +183,7 @@
         byte[] body = Bodies.rows(window, rows);
         credit -= (double) (body.length + ENVELOPE) * (owners.live().size() - 1);
         chunk.revision++;
-        chunk.due = now + (chunk.revision == 1 ? limits.gap() / 2 : limits.gap());
+        chunk.due = now + (chunk.revision == 1 ? limits.gap() : 2 * limits.gap());
         carrier.spread(Long.toString(Math.floorMod(window, (long) SLOTS), 36) + "." + Integer.toString(number, 36), window * REVISIONS + chunk.revision, body);
         for (Witnesses.Sum sum : chunk.sums) {
             sum.published |= rows.contains(sum.summed(limits.cap()));
@@ -177,11 +196,10 @@
         try {
             Bodies.Report report = Bodies.report(body, limits);
             if (from.length() <= NAME && !from.equals(me.id()) && inTime(now, from, report.window())) {
-                look();
                 Origin origin = new Origin(from, fromStart);
                 for (Bodies.Entry entry : report.entries()) {
                     if (entry.tally().possible(limits.counts(), 1)) {
-                        witnesses.heard(now, origin, report.window(), entry.hash(), entry.tally(), this::spare);
+                        witnesses.heard(now, origin, report.window(), entry.hash(), entry.tally(), this::place);
                     } else {
                         counts.add(Cause.IMPOSSIBLE);
                     }
@@ -227,6 +245,11 @@
         return new Picture(windows, board.known());
     }
 
+    /** Null: no row of it. */
+    Summed held(long hash, long window) {
+        return board.held(hash, window);
+    }
+
     /** Tallies held as an owner and rows held as a reader, for the bound of memory. */
     public int held() {
         return witnesses.size() + board.size();
--- a/outcomes/src/main/java/calicochute/outcomes/Witnesses.java
+++ b/outcomes/src/main/java/calicochute/outcomes/Witnesses.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.LongPredicate;
+import java.util.function.LongToIntFunction;
 
 /**
  * What an owner holds: of each window and subject the tallies by origin. An origin's tally of a window is an immutable whole, so the merge is a union of maps; of two
@@ -25,6 +25,8 @@
         final Map<Long, Sum> sums = new HashMap<>();
         final List<Chunk> chunks = new ArrayList<>();
         private final Map<Origin, Integer> named = new HashMap<>();
+        private final Chunk[] last = new Chunk[Owners.MANY];
+        private int unknown;
 
         Window(long first) {
             this.first = first;
@@ -51,16 +53,21 @@
     }
 
     static final class Chunk {
-        final boolean spare;
+        final int place;
         final List<Sum> sums = new ArrayList<>();
         int revision;
         long due;
 
-        Chunk(boolean spare, long due) {
-            this.spare = spare;
+        Chunk(int place, long due) {
+            this.place = place;
             this.due = due;
         }
 
+        /** Whether there is a subject in it that was not published yet. */
+        boolean news() {
+            return sums.stream().anyMatch(s -> s.changed && !s.published);
+        }
+
         boolean changed() {
             return sums.stream().anyMatch(s -> s.changed);
         }
@@ -71,8 +78,8 @@
         this.counts = counts;
     }
 
-    /** {@code spare}: whether this balancer is only the spare owner of a subject, or none. */
-    void heard(long now, Origin origin, long number, long hash, Tally tally, LongPredicate spare) {
+    /** {@code placed}: which owner of a subject this balancer is, 0 the first; -1: the subject is not known. */
+    void heard(long now, Origin origin, long number, long hash, Tally tally, LongToIntFunction placed) {
         if (number < floor) {
             counts.add(Cause.GIVEN_UP);
             return;
@@ -80,6 +87,11 @@
         Window window = windows.computeIfAbsent(number, n -> new Window(now));
         Sum sum = window.sums.get(hash);
         Tally before = sum == null ? null : sum.by.get(origin);
+        int place = sum == null ? placed.applyAsInt(hash) : 0;
+        if (place < 0 && window.unknown >= limits.unknown()) {
+            counts.add(Cause.TOO_MANY);
+            return;
+        }
         if (before != null) {
             int by = before.compareTo(tally);
             if (by != 0) {
@@ -100,28 +112,30 @@
         if (sum == null) {
             sum = new Sum(hash);
             window.sums.put(hash, sum);
-            place(now, window, sum, spare.test(hash));
+            window.unknown += place < 0 ? 1 : 0;
+            place(now, window, sum, place < 0 ? Owners.MANY - 1 : place);
         }
         sum.by.put(origin, tally);
         sum.summed = null;
         sum.changed = true;
         while (entries > limits.entries()) {
             counts.add(Cause.GIVEN_UP);
-            forget(windows.firstKey() + 1);
+            floor = windows.firstKey() + 1;
+            forget(windows.firstKey());
         }
     }
 
-    private void place(long now, Window window, Sum sum, boolean spare) {
-        for (Chunk chunk : window.chunks) {
-            if (chunk.spare == spare && chunk.sums.size() < Bodies.rows(limits)) {
-                chunk.sums.add(sum);
-                return;
-            }
+    private void place(long now, Window window, Sum sum, int place) {
+        if (window.last[place] != null && window.last[place].sums.size() < Bodies.rows(limits)) {
+            window.last[place].sums.add(sum);
+            window.last[place].due = Math.min(window.last[place].due, now + limits.settle() + place * limits.gap() / 2);
+            return;
         }
-        // A spare waits until the others' rows are here: it speaks only where they do not.
-        Chunk chunk = new Chunk(spare, Math.max(now, window.first + limits.settle() * (spare ? 2 : 1)));
+        // One owner after the other: what was lost on the way from one comes from the next, and news in between is early. A spare hears what they said first.
+        Chunk chunk = new Chunk(place, Math.max(now, window.first + limits.settle() + place * limits.gap() / 2));
         chunk.sums.add(sum);
         window.chunks.add(chunk);
+        window.last[place] = chunk;
     }
 
     /** Newest window first. */
@@ -129,13 +143,21 @@
         return windows.descendingMap();
     }
 
-    void forget(long before) {
-        floor = Math.max(floor, before);
-        while (!windows.isEmpty() && windows.firstKey() < before) {
-            entries -= windows.pollFirstEntry().getValue().named.values().stream().mapToInt(Integer::intValue).sum();
+    /** Others go: too old, or of a time before this clock was put back. */
+    void keep(long oldest, long newest) {
+        floor = Math.min(floor, newest);
+        while (!windows.isEmpty() && windows.firstKey() < oldest) {
+            forget(windows.firstKey());
+        }
+        while (!windows.isEmpty() && windows.lastKey() > newest) {
+            forget(windows.lastKey());
         }
     }
 
+    private void forget(long number) {
+        entries -= windows.remove(number).named.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     int size() {
         return entries;
     }
