--- /dev/null
+++ b/decision/src/test/java/calicochute/decision/ColdFleet.java
@@ -0,0 +1,275 @@
+package calicochute.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import calicochute.decision.Balancer.Actions;
+import calicochute.decision.Balancer.Arrival;
+import calicochute.decision.Balancer.AttemptEnded;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendList;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.KeyScope;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.decision.Balancer.Rules;
+import calicochute.decision.Balancer.Settings;
+import calicochute.decision.Balancer.Timer;
+
+/** A whole fleet of instances in virtual time, to see what the sum of their sends does to cold servers. */
+final class ColdFleet {
+    static final long SECOND = 1_000_000;
+    static final Rules RULES = new Rules(20_000, 10 * SECOND, 0.32, 8_900_000, 3 * SECOND, 3, 3 * SECOND);
+    private static final int SERVERS = 60;
+    private static final long ROLL = 10 * SECOND, END = 26 * SECOND, SAMPLE = 50_000;
+    /** Slowest that an instance hears of a change. */
+    private static final long NOTICE = 1_500_000;
+    /** Sessions of the second class are as frequent as those of the first and take four times the work. */
+    private static final double[] WORK = {0.4, 1.6};
+
+    /**
+     * ROLL: six in ten servers replaced within 7 s. FRESH: and all balancers are new right before. FEW: two servers
+     * replaced at once. LOST: all servers replaced within 2 s. WHOLE: all servers and all balancers start. LAST: all servers
+     * lost, six of them back 2 s later. LATER: six replaced, all others lost 4 s later.
+     */
+    enum Day {
+        ROLL(36, 7 * SECOND), FRESH(36, 7 * SECOND), FEW(2, 1), LOST(SERVERS, 2 * SECOND), WHOLE(0, 1), LAST(6, 1), LATER(6, 1);
+
+        final int replaced;
+        final long within;
+
+        Day(int replaced, long within) {
+            this.replaced = replaced;
+            this.within = within;
+        }
+    }
+
+    /** {@code perBalancer}: sessions a second of the mean balancer; {@code load}: of what all warm servers bear. */
+    record Setup(Day day, int balancers, double perBalancer, double load, long seed) { }
+
+    /**
+     * Worst window of any cold server as a share of its budget, all sends and those of balancers told of the start; servers that
+     * were over it, and falls by the rule. {@code use}: work sent to cold servers over what they could do, where sessions were
+     * denied within the same second; {@code idle}: longest time one of them had nothing to do then, seconds; share of
+     * sessions denied.
+     */
+    record Result(double worst, double worstTold, int over, int broken, double use, double idle, double denied) { }
+
+    private final Setup setup;
+    private final SplittableRandom random;
+    private final Agenda agenda = new Agenda(SECOND);
+    private final List<ColdMachine> machines = new ArrayList<>();
+    private final Map<String, ColdMachine> byId = new HashMap<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final double capacity;
+    private long sessions, denied, deniedLately = -SECOND;
+    private double possible, sent, longestIdle;
+
+    ColdFleet(Setup setup) {
+        this.setup = setup;
+        random = new SplittableRandom(setup.seed);
+        capacity = setup.balancers * setup.perBalancer / setup.load / SERVERS;
+    }
+
+    private record Open(int cls, boolean again, double work, int attempts, boolean out) {
+        Open sent(int count, boolean isOut) { return new Open(cls, again, work, count, isOut); }
+    }
+
+    /** One balancer's host. */
+    private final class Node implements Actions {
+        final double rate;
+        final int me;
+        final Map<String, Long> told = new HashMap<>();
+        final Map<Long, Open> open = new HashMap<>();
+        Balancer balancer;
+
+        Node(int me, double rate) {
+            this.me = me;
+            this.rate = rate;
+        }
+
+        void start(List<ColdMachine> listed) {
+            open.clear();
+            var classes = List.of(requestClass("light", 1), requestClass("heavy", 4));
+            balancer = Balancer.create(new Settings(random.nextLong(), me, setup.balancers, 0, true, false, true, "z", 5_000, 0.1,
+                List.of(), classes, List.of(), Fixture.LIMITS, RULES, new Balancer.Goal(1, 0, 0, 0, 0, 0, 0)));
+            var entries = listed.stream().map(m -> m.entry(BackendState.READY)).toList();
+            entries.forEach(e -> told.put(e.id(), e.startedAt()));
+            balancer.on(agenda.now, new BackendList(ListKind.FULL, entries), this);
+        }
+
+        void hear(ColdMachine old, ColdMachine fresh) {
+            List<Backend> entries = new ArrayList<>();
+            if (fresh == null || !old.id.equals(fresh.id)) {
+                entries.add(old.entry(BackendState.GONE));
+            }
+            if (fresh != null) {
+                told.put(fresh.id, fresh.startedAt);
+                entries.add(fresh.entry(BackendState.READY));
+            }
+            balancer.on(agenda.now, new BackendList(ListKind.CHANGES, entries), this);
+        }
+
+        /** Poisson arrivals; half as much again for 3 s amid the cold starts. */
+        void arriveNext() {
+            boolean burst = agenda.now > ROLL + 5 * SECOND && agenda.now < ROLL + 8 * SECOND;
+            agenda.after((long) (random.nextExponential() / (rate * (burst ? 1.5 : 1)) * SECOND), () -> {
+                arrive(random.nextInt(2), false);
+                arriveNext();
+            });
+        }
+
+        private void arrive(int cls, boolean again) {
+            long id = ++sessions;
+            open.put(id, new Open(cls, again, WORK[cls] * (0.7 + 0.6 * random.nextDouble()), 0, false));
+            balancer.on(agenda.now, new Arrival(id, cls, -1, null, aim(WORK[cls]), again), this);
+        }
+
+        @Override
+        public void send(long request, String backend, long timeout) {
+            Open o = open.get(request);
+            int attempt = o.attempts;
+            open.put(request, o.sent(attempt + 1, true));
+            Balancer of = balancer;
+            ColdMachine m = byId.get(backend);
+            long at = agenda.now;
+            boolean known = told.getOrDefault(backend, 0L) == m.startedAt;
+            boolean taken = m.take(o.work, known, () -> ended(of, request, attempt, m, Outcome.OK, at));
+            long wait = taken ? timeout : 1000;
+            agenda.after(wait, () -> ended(of, request, attempt, m, taken ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, at));
+        }
+
+        private void ended(Balancer of, long request, int attempt, ColdMachine m, Outcome outcome, long sentAt) {
+            Open o = of == balancer ? open.get(request) : null;
+            if (o == null || o.attempts != attempt + 1 || !o.out) { return; }
+            boolean ok = outcome == Outcome.OK;
+            if (ok) { open.remove(request); } else { open.put(request, o.sent(o.attempts, false)); }
+            balancer.on(agenda.now, new AttemptEnded(request, attempt, m.id, ok, outcome, agenda.now - sentAt, null), this);
+        }
+
+        private void deny(long request) {
+            Open o = open.remove(request);
+            if (o != null) {
+                denied++;
+                deniedLately = agenda.now;
+                // Most clients come back, half of those a second time.
+                if (random.nextDouble() < (o.again ? 0.5 : 0.8)) { agenda.after(SECOND / 3, () -> arrive(o.cls, true)); }
+            }
+        }
+
+        @Override
+        public void refuse(long request, long retryAfter) { deny(request); }
+
+        @Override
+        public void fail(long request) { deny(request); }
+
+        @Override
+        public void timer(long delay, int purpose, long subject) {
+            Balancer of = balancer;
+            agenda.after(delay, () -> {
+                if (of == balancer) { balancer.on(agenda.now, new Timer(purpose, subject), this); }
+            });
+        }
+
+        @Override
+        public void cancel(long request, int attempt) { }
+
+        @Override
+        public void subscribe(boolean on) { }
+
+        @Override
+        public void fetchList() { }
+
+        @Override
+        public void probe(String backend) { }
+
+        @Override
+        public void closeIdle(String backend) { }
+
+        @Override
+        public void tell(int peer, byte[] bytes) { }
+
+        @Override
+        public void log(String text) { }
+    }
+
+    /** Six times what the work takes on a warm server. */
+    private long aim(double work) { return (long) (6 * ColdMachine.SLOTS * work / capacity * SECOND); }
+
+    private RequestClass requestClass(String name, double worth) {
+        long aim = aim(WORK[name.equals("light") ? 0 : 1]);
+        return new RequestClass(name, Effect.REPEATABLE, KeyScope.ALL, SECOND, aim, aim, worth, 0.5, false);
+    }
+
+    private ColdMachine machine(String id, long startedAt) {
+        ColdMachine m = new ColdMachine(id, startedAt, capacity, RULES, agenda);
+        byId.put(id, m);
+        machines.add(m);
+        return m;
+    }
+
+    Result run() {
+        for (int i = 0; i < SERVERS; i++) { machine("b" + i, setup.day == Day.WHOLE ? agenda.now : 0); }
+        List<ColdMachine> first = List.copyOf(machines);
+        // Several times the mean for some; thin for most.
+        double[] parts = random.doubles(setup.balancers).map(u -> 0.25 + 3 * u * u * u).toArray();
+        for (int i = 0; i < parts.length; i++) {
+            Node n = new Node(i, setup.perBalancer * parts[i]);
+            nodes.add(n);
+            n.start(first);
+            n.arriveNext();
+            if (setup.day == Day.FRESH) { agenda.at(ROLL - random.nextLong(SECOND), () -> n.start(first)); }
+        }
+        for (int i = 0; i < setup.day.replaced; i++) {
+            ColdMachine old = first.get(i);
+            String id = i % 2 == 0 ? old.id : "n" + i;
+            agenda.at(ROLL + setup.day.within * i / setup.day.replaced, () -> {
+                ColdMachine fresh = machine(id, agenda.now);
+                spread(old, fresh);
+            });
+        }
+        if (setup.day == Day.LAST || setup.day == Day.LATER) {
+            long when = setup.day == Day.LAST ? ROLL - 2 * SECOND : ROLL + 4 * SECOND;
+            first.forEach(m -> agenda.at(when, () -> {
+                m.lost = true;
+                if (byId.get(m.id) == m) { spread(m, null); }
+            }));
+        }
+        agenda.at(agenda.now + SAMPLE, this::sample);
+        agenda.runUntil(END);
+        return result();
+    }
+
+    /** Each balancer hears in its own time. */
+    private void spread(ColdMachine old, ColdMachine fresh) {
+        nodes.forEach(n -> agenda.after(random.nextLong(NOTICE / 10, NOTICE), () -> n.hear(old, fresh)));
+    }
+
+    /** How much cold servers are used while sessions are denied, once all balancers have heard of them. */
+    private void sample() {
+        agenda.at(agenda.now + SAMPLE, this::sample);
+        for (ColdMachine m : machines) {
+            if (!m.cold(agenda.now) || agenda.now < m.startedAt + NOTICE || agenda.now > deniedLately + SECOND) {
+                m.idleSince = agenda.now;
+                continue;
+            }
+            possible += m.possible(SAMPLE);
+            sent += m.came(SAMPLE);
+            if (m.busy > 0) { m.idleSince = agenda.now; }
+            longestIdle = Math.max(longestIdle, (agenda.now - m.idleSince) / (double) SECOND);
+        }
+    }
+
+    private Result result() {
+        var worst = machines.stream().map(ColdMachine::worst).toList();
+        return new Result(worst.stream().mapToDouble(ColdMachine.Worst::all).max().orElse(0),
+            worst.stream().mapToDouble(ColdMachine.Worst::told).max().orElse(0),
+            (int) worst.stream().filter(w -> w.told() > 1).count(),
+            (int) worst.stream().filter(ColdMachine.Worst::broken).count(),
+            possible == 0 ? 1 : sent / possible, longestIdle, denied / (double) Math.max(1, sessions));
+    }
+}
