Cold servers: parts that follow the number of callers and lapse, so that the sum scales

At fault: `warmRate` is per server in use and was kept when all instances came to share the few that are left; an allowance never lapsed, also for servers never called; `warmRate` fell to 0 where none in use is warm; one send a `fall` span for each instance where it is 0.

Changed: the warm rate is scaled by the callers of a server before and after each choice of the subset, kept where all are cold, and begins with its first sample; what is not spent within a `fall` span lapses by whole sends; where no warm answer was ever seen, the part of what is asked of the tier with all its servers there.

--- a/decision/src/main/java/calicochute/decision/Choice.java
+++ b/decision/src/main/java/calicochute/decision/Choice.java
@@ -85,6 +85,7 @@
         Request r = new Request(e.request(), e.classIndex(), known.now, known.now + left, most);
         known.requests.put(r.id, r);
         known.open++;
+        known.asked += e.retry() ? 0 : 1;
         retries.earn();
         if (first && !admission.admit(e, waited)) { giveUp(r); } else { dispatch(r); }
     }
--- a/decision/src/main/java/calicochute/decision/ColdStarts.java
+++ b/decision/src/main/java/calicochute/decision/ColdStarts.java
@@ -5,19 +5,29 @@
     /** Share of the cold allowance used: sends come in clumps and peers judge by other samples. */
     private static final double CAUTION = 0.5;
 
-    /** DANGER: everyone's first call at once topples a cold backend; each spends only its own allowance. */
+    /**
+     * DANGER: everyone's first call at once topples a cold backend. Each spends what accrues of its own part,
+     * from a random start on, so that parts add up to the whole however many callers there are. What is left
+     * after a fall span lapses by whole sends: saved up by hundreds, it would come at once.
+     */
     boolean allows(Server s) {
         if (!cold(s)) { return true; }
         var rules = known.settings.rules();
-        // DANGER: where none has ever been warm nothing tells what they bear, and nobody would be served.
-        double rate = known.warmRate == 0 ? 1e6 / Math.max(1, rules.fall())
-            : known.warmRate * CAUTION * rules.fallMultiple() * warmth(s);
-        double most = Math.max(1, rate * rules.fall() / 2e6);
-        s.allowance = Math.min(most, s.allowance + rate * (known.now - s.allowanceAt) / 1e6);
+        double perMicro = part() * CAUTION * rules.fallMultiple() * warmth(s) / 1e6;
+        s.allowance += perMicro * (known.now - s.allowanceAt);
+        s.allowance -= Math.max(0, Math.ceil(s.allowance - 1 - perMicro * rules.fall()));
         s.allowanceAt = known.now;
         return s.allowance >= 1;
     }
 
+    /** What a warm backend takes of this instance, sessions a second. */
+    private double part() {
+        if (known.warmRate > 0) { return known.warmRate; }
+        // DANGER: where none was ever warm nothing tells what they bear, and nobody would be served. A tier
+        // bears about what is asked of it while all its backends are there.
+        return known.askedRate * known.settings.balancers() / (known.callers * known.mostReady);
+    }
+
     boolean cold(Server s) {
         return s.entry.startedAt() > 0 && known.now < s.entry.startedAt() + known.settings.rules().warmUp();
     }
--- a/decision/src/main/java/calicochute/decision/Estimates.java
+++ b/decision/src/main/java/calicochute/decision/Estimates.java
@@ -78,14 +78,21 @@
         s.sampledAt = known.now;
     }
 
+    /** Begins with the first sample there is: from 0 up, a new instance underrates its part for seconds. */
+    private static double smooth(double rate, double sample, double weight) {
+        return rate == 0 ? sample : rate + weight * (sample - rate);
+    }
+
     /** Renews what is typical and how fast answers come; how many of the backends in use are sick. */
     int review(double seconds, double weight) {
         var speeds = Arrays.stream(known.use).filter(s -> s.polled).mapToDouble(s -> s.speed).average();
         known.typical = Math.max(0.01, speeds.orElse(known.typical));
         long warm = Arrays.stream(known.use).filter(s -> !coldStarts.cold(s)).count();
-        known.warmRate += weight * (known.warmAnswers / seconds / Math.max(1, warm) - known.warmRate);
+        // Where all are cold, what warm ones took is still the best guide.
+        if (warm > 0) { known.warmRate = smooth(known.warmRate, known.warmAnswers / seconds / warm, weight); }
+        known.askedRate = smooth(known.askedRate, known.asked / seconds, weight);
         known.answerRate += weight * (known.allAnswers / seconds - known.answerRate);
-        known.warmAnswers = known.allAnswers = 0;
+        known.warmAnswers = known.allAnswers = known.asked = 0;
         return (int) Arrays.stream(known.use).filter(s -> s.polled && alone(s) < known.typical / 3).count();
     }
 }
--- a/decision/src/main/java/calicochute/decision/Known.java
+++ b/decision/src/main/java/calicochute/decision/Known.java
@@ -36,6 +36,12 @@
     /** Answers a second: of a warm backend in use on average, and of all together; those since the last review. */
     double warmRate, answerRate;
     int warmAnswers, allAnswers;
+    /** First tries, a second and since the last review. */
+    double askedRate;
+    int asked;
+    /** Instances that call each backend; most backends that were ready at once. */
+    double callers;
+    int mostReady;
     long reviewedAt, unconnectedAt = Long.MIN_VALUE / 2;
 
     double retryTokens;
--- a/decision/src/main/java/calicochute/decision/Subset.java
+++ b/decision/src/main/java/calicochute/decision/Subset.java
@@ -84,6 +84,14 @@
         if (want > used && used < known.ranked.length || want < used * 2 / 3) { choose(want); }
     }
 
+    /** DANGER: when few are left all instances call each of them; parts from before add up to many wholes. */
+    private void shared(int ready) {
+        double callers = (double) known.settings.balancers() * known.use.length / ready;
+        known.warmRate *= known.callers > 0 ? known.callers / callers : 1;
+        known.callers = callers;
+        known.mostReady = Math.max(known.mostReady, ready);
+    }
+
     private void choose(int size) {
         Server[] before = known.use;
         Server[] pool = Arrays.stream(known.ranked).filter(Legality::notDraining).toArray(Server[]::new);
@@ -92,6 +100,7 @@
         int start = (int) ((long) me * ready / perRound % Math.max(1, ready));
         known.use = new Server[Math.min(size, ready)];
         Arrays.setAll(known.use, i -> pool[(start + i) % ready]);
+        if (ready > 0) { shared(ready); }
         var in = Arrays.asList(known.use);
         for (Server s : before) {
             if (s.listed && !in.contains(s)) { known.actions.closeIdle(s.id); }
