At its end the acceptor takes in what has come up instead of resetting it

Read in the code: what has come up and waits when the listening socket is closed is reset (Listening.accept left its loop at once when told to stop). No other cause was traced.

Now what waits is taken in right before the socket is closed, at a socket of this process's own only, and the drain waits until the I/O thread has it.

--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -67,7 +67,7 @@
     }
 
     /** Takes no more connections; what is being answered goes on to its end. */
-    public void stopAccepting() {
+    public void stopAccepting() throws InterruptedException {
         listening.stopAccepting();
     }
 
--- a/balancer/src/main/java/calicochute/listening/Listening.java
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -29,6 +29,7 @@
  */
 public final class Listening {
     private static final long PAUSE_MS = 50;
+    private static final long LONGEST_STOP_MS = 1000;
     private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
         .setSelectInterval(TimeValue.ofMilliseconds(100)).build();
     private final ServerSocketChannel socket;
@@ -37,6 +38,7 @@
     private final Counters counters;
     private final DefaultConnectingIOReactor reactor;
     private final Selector selector;
+    private Thread acceptor;
     private volatile boolean stopped;
 
     private Listening(ServerSocketChannel socket, boolean own, String name, IOEventHandlerFactory handlers,
@@ -79,7 +81,8 @@
         reactor.start();
         socket.configureBlocking(false);
         socket.register(selector, SelectionKey.OP_ACCEPT);
-        new Thread(this::accept, name + "-accept").start();
+        acceptor = new Thread(this::accept, name + "-accept");
+        acceptor.start();
         return (InetSocketAddress) socket.getLocalAddress();
     }
 
@@ -99,13 +102,22 @@
                 pause();
             }
         }
+        end();
+    }
+
+    private void end() {
         try {
             // The selector first: a socket that is still registered would go on listening.
             selector.close();
             if (own) {
+                // Guards against the reset of what has come up but was not taken in yet, request and all: closing the socket
+                // ends it. At a socket that outlives this process it is left to the next one.
+                for (SocketChannel next = socket.accept(); next != null; next = socket.accept()) {
+                    ChannelBridge.adopt(reactor, next);
+                }
                 socket.close();
             }
-        } catch (IOException e) {
+        } catch (IOException | IllegalStateException e) {
             Log.info("acceptor-ended", name + ": " + e.getMessage());
         }
     }
@@ -118,10 +130,11 @@
         }
     }
 
-    /** Accepts no more; the connections that there are go on. */
-    public void stopAccepting() {
+    /** Accepts no more, once it returns; the connections that there are go on. */
+    public void stopAccepting() throws InterruptedException {
         stopped = true;
         selector.wakeup();
+        acceptor.join(LONGEST_STOP_MS);
     }
 
     /** Ends all connections. */
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -53,6 +53,8 @@
     /** How often clients' connections are looked at while they are sent away. */
     private static final long LOOK_AGAIN = 100_000;
     private static final long NOTE_EVERY = 500_000;
+    private static final long TAKEN_OVER_NANOS = 100_000_000L;
+    private static final long LONGEST_END_NANOS = 10_000_000_000L;
     private final Configuration configuration;
     private volatile Succession succession;
     private final Counters counters;
@@ -523,8 +525,10 @@
             Thread.sleep(10);
         }
         frontend.stopAccepting();
-        long latest = System.nanoTime() + 10_000_000_000L;
-        while ((unanswered > 0 || frontend.connected() > 0) && System.nanoTime() < latest) {
+        long stopped = System.nanoTime();
+        // What was accepted last counts as connected only once the I/O thread has it.
+        while ((unanswered > 0 || frontend.connected() > 0 || System.nanoTime() - stopped < TAKEN_OVER_NANOS)
+            && System.nanoTime() - stopped < LONGEST_END_NANOS) {
             Thread.sleep(10);
         }
         frontend.close();
--- /dev/null
+++ b/balancer/src/test/java/calicochute/process/RestartTest.java
@@ -0,0 +1,97 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.Test;
+
+/** A planned restart under clients that send on every connection for as long as it stays open. */
+public class RestartTest extends OneServer {
+    private static final int CLIENTS = 12;
+    /** At a planned restart new connections keep coming for 0.4 s at most. */
+    private static final long NEW_NANOS = 400_000_000L;
+    private final AtomicInteger names = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
+    private final AtomicInteger lastAnswers = new AtomicInteger();
+    private final AtomicInteger crossed = new AtomicInteger();
+    private volatile long endingSince;
+
+    /** Sends on one connection until it ends; then on a new one, for as long as a front sends any to a process that ends. */
+    private void client() {
+        try {
+            while (endingSince == 0 || System.nanoTime() - endingSince < NEW_NANOS) {
+                try (Socket socket = program.connect()) {
+                    onOne(socket);
+                }
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void onOne(Socket socket) throws Exception {
+        while (true) {
+            byte[] request = Http.message(session(String.format("%016x", names.incrementAndGet()), "view"), new byte[0]);
+            Http answer = null;
+            try {
+                socket.getOutputStream().write(request);
+                // Null at an end before the answer's; a head without its whole body fails the length below.
+                answer = Http.read(socket.getInputStream());
+            } catch (IOException e) {
+                // Reset: the request crossed the connection's end, and is sent once more.
+            }
+            if (answer == null) {
+                crossed.incrementAndGet();
+                assertTrue("only a planned stop ends connections", endingSince != 0);
+                return;
+            }
+            assertEquals(200, answer.status());
+            assertEquals("a map", new String(answer.body()));
+            answers.incrementAndGet();
+            if ("close".equals(answer.header("Connection"))) {
+                lastAnswers.incrementAndGet();
+                assertEquals("said to be the last, and is", null, Http.read(socket.getInputStream()));
+                return;
+            }
+        }
+    }
+
+    /**
+     * From SIGTERM to the process's end each request has its whole answer, and each connection in steady use ends behind an
+     * answer that says so: none crosses a request.
+     */
+    @Test
+    public void sendingOnToTheEndLosesNothing() throws Exception {
+        server.script = r -> {
+            Thread.sleep(ThreadLocalRandom.current().nextInt(20));
+            return Http.answer(200, "", "a map");
+        };
+        List<CompletableFuture<Void>> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(CompletableFuture.runAsync(() -> client(), r -> new Thread(r).start()));
+        }
+        await("in full use", () -> answers.get() >= 20 * CLIENTS);
+        assertEquals(0, crossed.get());
+        assertEquals(0, lastAnswers.get());
+        endingSince = System.nanoTime();
+        program.process.destroy();
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        for (CompletableFuture<Void> client : clients) {
+            client.get(30, TimeUnit.SECONDS);
+        }
+        assertEquals("requests on accepted connections that met an end", 0, crossed.get());
+        assertTrue(lastAnswers.get() >= CLIENTS);
+        assertTrue(program.log(), program.log().contains("drained unanswered=0"));
+        assertTrue(program.log(), program.log().contains("sessions_taken " + answers.get() + ","));
+    }
+}
