--- a/balancer/src/main/java/calicochute/discovery/ServerList.java
+++ b/balancer/src/main/java/calicochute/discovery/ServerList.java
@@ -10,8 +10,8 @@
 import com.google.gson.JsonObject;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.apache.hc.core5.net.InetAddressUtils;
@@ -22,25 +22,38 @@
     /** Numbers beyond it turn over once they are microseconds. */
     private static final BigDecimal GREATEST = BigDecimal.valueOf(1L << 53);
 
-    /** Reads discovery's JSON; anything else is refused as a whole. */
+    /**
+     * Changes from before a list of this generation. A whole list is never too old: where discovery began anew, it is the only
+     * way to what is listed now. Nor is an answer that changes nothing.
+     */
+    boolean changesOlderThan(long held) {
+        return !whole && !entries.isEmpty() && generation < held;
+    }
+
+    /**
+     * Reads discovery's JSON; anything else is refused as a whole. Of two entries with one id the last counts: among changes
+     * it is the newer. Two ids may have one address; one without a zone is in none of the named ones.
+     */
     public static ServerList parse(String json) throws SettingsException {
         try {
             JsonObject root = Document.parse(json).root();
-            List<Backend> entries = new ArrayList<>();
+            Map<String, Backend> entries = new LinkedHashMap<>();
             Map<String, InetSocketAddress> addresses = new HashMap<>();
             for (JsonElement element : root.getAsJsonArray("instances")) {
                 JsonObject o = element.getAsJsonObject();
                 String id = o.get("instanceId").getAsString();
                 BackendState state = state(o.get("lifecycle").getAsString());
-                if (state != BackendState.GONE) {
+                if (state == BackendState.GONE) {
+                    addresses.remove(id);
+                } else {
                     addresses.put(id, address(o.get("hostPort").getAsString()));
                 }
-                entries.add(new Backend(id, text(o, "zone"), o.has("cell") ? o.get("cell").getAsInt() : 0,
+                entries.put(id, new Backend(id, text(o, "zone"), o.has("cell") ? o.get("cell").getAsInt() : 0,
                     o.has("weight") ? o.get("weight").getAsDouble() : 1, state,
                     o.has("startedAtMs") ? number(o, "startedAtMs") * 1000 : 0, text(o, "machineType")));
             }
-            return new ServerList(number(root, "generation"), root.get("reset").getAsBoolean(), entries,
-                addresses);
+            return new ServerList(number(root, "generation"), root.get("reset").getAsBoolean(),
+                List.copyOf(entries.values()), addresses);
         } catch (IllegalStateException | ClassCastException | NumberFormatException
                  | UnsupportedOperationException | NullPointerException e) {
             throw new SettingsException(Code.SERVER_LIST, "", "not a list of instances: " + e.getMessage());
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -95,7 +95,7 @@
         backend = new BackendServers(connector, queue, counters, settings.limits().connectTimeout(),
             configuration.connectionIdle(), configuration.bounds(), this);
         membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
-        discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership);
+        discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership, settings);
         frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence,
             () -> succession);
         admin = configuration.admin() == null ? null : new AdminServer(this, counters);
@@ -156,6 +156,9 @@
             discovery.startFrom(known.generation());
         }
         membership.restored(known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
+        if (!configuration.settings().subscribes()) {
+            discovery.begin();
+        }
     }
 
     /** Takes over what the process before this one has learnt, if it is fresh. */
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** The real program as a process of its own, with the configuration of a small site. */
 final class Program {
@@ -74,6 +75,11 @@
         return new Program("export JAVA_TOOL_OPTIONS=-Xmx" + heap + "; ", 1024, freePort(), discovery, addresses(servers));
     }
 
+    /** With a configuration changed before the start. */
+    static Program edited(UnaryOperator<String> edit, Peer discovery, Peer... servers) throws Exception {
+        return new Program("", 1024, 0, edit, discovery, addresses(servers));
+    }
+
     private static String[] addresses(Peer... servers) {
         return Arrays.stream(servers).map(Peer::address).toArray(String[]::new);
     }
@@ -85,10 +91,15 @@
     }
 
     private Program(String shell, int sockets, int admin, Peer discovery, String... servers) throws Exception {
+        this(shell, sockets, admin, UnaryOperator.identity(), discovery, servers);
+    }
+
+    private Program(String shell, int sockets, int admin, UnaryOperator<String> edit, Peer discovery, String... servers)
+            throws Exception {
         port = freePort();
         this.admin = admin;
         config = Files.createTempFile("calicochute", ".json");
-        Files.writeString(config, configuration(port, admin, sockets, discovery, servers));
+        Files.writeString(config, edit.apply(configuration(port, admin, sockets, discovery, servers)));
         log = Files.createTempFile("calicochute", ".log");
         process = start(shell, log, "serve", "--config", config.toString());
         await("ready", () -> send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200);
--- /dev/null
+++ b/balancer/src/test/java/calicochute/process/SilentWatchTest.java
@@ -0,0 +1,177 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.list;
+import static calicochute.process.Program.session;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.Test;
+
+/** Watches that fall silent: {@code WatchClockTest} says when that is noticed, and here is what follows, at each point. */
+public class SilentWatchTest {
+    private static final String ID = "9b1f03aa5c7e2d41";
+    private final CountDownLatch release = new CountDownLatch(1);
+
+    /** One program, whose first connection to discovery falls silent in its own way. */
+    private final class Silent {
+        final String point;
+        final Peer server = new Peer(r -> Http.answer(200, "", "a map"));
+        final Peer discovery;
+        final Program program;
+
+        /**
+         * @param answers before the one that falls silent
+         * @param bytes of that one that still come; over a million for all of it but the last
+         */
+        Silent(String point, int answers, int bytes) throws Exception {
+            this.point = point;
+            Peer[] self = new Peer[1];
+            discovery = self[0] = new Peer(r -> {
+                Peer me = self[0];
+                boolean first = me.connections.size() == 1;
+                int told = me.requests.size();
+                if (first && told <= answers) {
+                    return Http.answer(200, "", list(1 + told, "Ready", server));
+                }
+                byte[] change = Http.answer(200, "", indented(list(9, "Terminating", server)));
+                if (first && bytes > 0) {
+                    return Arrays.copyOf(change, Math.min(bytes, change.length - 1));
+                }
+                if (first || r.firstLine().contains("since=9&")) {
+                    release.await();
+                }
+                return change;
+            });
+            program = new Program(discovery, server);
+        }
+
+        /** The change that was made meanwhile is in force, on another connection, without a failure told to the module. */
+        void check() throws Exception {
+            await(point + ": told", () -> program.log().contains("generation=9"));
+            assertEquals(point, 2, discovery.connections.size());
+            Socket first = discovery.connections.get(0);
+            assertTrue(point, first.isClosed() || Program.ended(first));
+            assertEquals(point, 1, program.counter("discovery_reopened"));
+            assertEquals(point, 1, program.counter("discovery_failures"));
+            int before = server.requests.size();
+            assertEquals(point, 503, program.send(session(ID, "view").replace(": 8000", ": 300")).status());
+            assertEquals(point, before, server.requests.size());
+        }
+
+        void stop() throws Exception {
+            program.stop();
+            server.close();
+            discovery.close();
+        }
+    }
+
+    private static String indented(String list) {
+        return list.replace("{", "{\n\t").replace(",", ",\r\n    ").replace("\":", "\" : ").replace("]", "\n  ]\n");
+    }
+
+    /** All at once, so that their waits pass together. */
+    @Test
+    public void aSilentWatchIsOpenedAnewAtEachPoint() throws Exception {
+        List<Silent> all = new ArrayList<>();
+        try {
+            all.add(new Silent("before the first head", 0, 0));
+            all.add(new Silent("in the first head", 0, 20));
+            all.add(new Silent("in the first body", 0, 150));
+            all.add(new Silent("before the last byte", 0, 1 << 20));
+            all.add(new Silent("between two answers", 2, 0));
+            all.add(new Silent("in a later head", 1, 20));
+            all.add(new Silent("in a later body", 1, 150));
+            for (Silent one : all) {
+                one.check();
+            }
+        } finally {
+            release.countDown();
+            for (Silent one : all) {
+                one.stop();
+            }
+        }
+    }
+
+    /** A connection that never comes up is no silent watch but a way that is down: it is tried again on a new one, and backs off. */
+    @Test
+    public void aConnectionThatNeverComesUpIsTriedAgain() throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        try (Peer discovery = Peer.silent(release); Peer server = new Peer(r -> Http.answer(200, "", "a map"));
+             ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Program program = new Program(discovery, server);
+            for (boolean more = true; more;) {
+                Socket one = new Socket();
+                crowd.add(one);
+                try {
+                    one.connect(new InetSocketAddress(full.getInetAddress(), full.getLocalPort()), 200);
+                } catch (SocketTimeoutException e) {
+                    more = false;
+                }
+            }
+            Files.writeString(program.config, Files.readString(program.config).replace(discovery.address(),
+                "127.0.0.1:" + full.getLocalPort()));
+            program.signal("HUP");
+            await("given up twice", () -> program.counter("discovery_failures") >= 2);
+            assertEquals(0, program.counter("discovery_reopened"));
+            assertEquals(200, program.send(session(ID, "view")).status());
+            Files.writeString(program.config, Files.readString(program.config).replace("127.0.0.1:" + full.getLocalPort(),
+                discovery.address()));
+            int before = discovery.requests.size();
+            program.signal("HUP");
+            await("back", () -> discovery.requests.size() > before);
+            release.countDown();
+            program.stop();
+        } finally {
+            for (Socket one : crowd) {
+                one.close();
+            }
+        }
+    }
+
+    /** Where lists are pushed they come on a watch too, and what it has to tell counts from the first moment. */
+    @Test
+    public void pushedListsAreWatchedFromTheStart() throws Exception {
+        try (Peer server = new Peer(r -> Http.answer(200, "", "a map"));
+             Peer discovery = new Peer(r -> {
+                 if (r.firstLine().contains("since=2&")) {
+                     release.await();
+                 }
+                 return Http.answer(200, "", list(2, "Terminating", server));
+             })) {
+            Program program = Program.edited(c -> c.replace("on_request", "pushed").replace("\"ask_every\":1000000,", ""),
+                discovery, server);
+            await("told", () -> program.log().contains("generation=2"));
+            await("still watched", () -> discovery.requests.size() == 2);
+            for (Socket socket : discovery.connections) {
+                socket.close();
+            }
+            await("watched again", () -> discovery.requests.size() == 3);
+            release.countDown();
+            program.stop();
+        }
+    }
+
+    /** A discovery that answers at once with nothing, time and again, is not called without an end. */
+    @Test
+    public void answersThatDoNotWaitMakeNoStorm() throws Exception {
+        try (Peer server = new Peer(r -> Http.answer(200, "", "a map"));
+             Peer discovery = new Peer(r -> Http.answer(200, "", "{\"generation\":1,\"reset\":false,\"instances\":[]}"))) {
+            Program program = new Program(discovery, server);
+            long begun = System.nanoTime();
+            await("called again and again", () -> discovery.requests.size() >= 12);
+            assertTrue("each a tenth of a second after the last", System.nanoTime() - begun > 500_000_000L);
+            program.stop();
+        }
+    }
+}
