--- a/balancer/src/test/java/calicochute/process/BadListTest.java
+++ b/balancer/src/test/java/calicochute/process/BadListTest.java
@@ -2,7 +2,6 @@
 
 import static calicochute.process.Program.await;
 import static calicochute.process.Program.list;
-import static calicochute.process.Program.session;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
@@ -56,7 +55,12 @@
 
     /** A session's answer: its status and, if it was served, by whom. */
     private String served() throws Exception {
-        Http answer = program.send(session(String.format("%016x", ++sessions), "view").replace(": 8000", ": 400"));
+        return session(8000);
+    }
+
+    private String session(int remainingMs) throws Exception {
+        Http answer = program.send(Program.session(String.format("%016x", ++sessions), "view")
+            .replace(": 8000", ": " + remainingMs));
         return answer.status() + new String(answer.body());
     }
 
@@ -108,7 +112,7 @@
         tell(3, false, entry("one", server, "Terminating"));
         assertEquals("200a map", served());
         tell(4, false, entry("two", server, "Gone"));
-        assertEquals("503", served());
+        assertEquals("503", session(400));
     }
 
     /** The last entry of an id counts, in a whole list and among changes: gone and back at once is back. */
@@ -119,7 +123,7 @@
         tell(3, false, entry("one", other, "Gone"), entry("one", server, "Ready"));
         assertEquals("200a map", served());
         tell(4, false, entry("one", server, "Ready"), entry("one", server, "Gone"));
-        assertEquals("503", served());
+        assertEquals("503", session(400));
     }
 
     /** One without a zone is in none of the named ones, and is used like one abroad; other fields have plain defaults. */
