Even subsets: two thirds at home, one ring by the golden ratio; careful once-only classes

Seen: of 63 balancers before 60 servers the most used server got 2.2 times the mean and the least a fifth of it by the choice of subsets alone (computed; docs/measurements/even.md): a slice of 12 over all zones holds one to seven home servers, and only those are used.

Change: where crossing is priced two thirds of the subset are at home; all instances share one ring and begin at the golden ratio times their number. Two events for what comes next, without effect until they are sent: arms of experiments, and what the fleet knows of a server.

--- a/decision/src/main/java/calicochute/decision/Balancer.java
+++ b/decision/src/main/java/calicochute/decision/Balancer.java
@@ -1,6 +1,7 @@
 package calicochute.decision;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The whole interface between a proxy (the host) and the decision module: what the host tells ({@link Settings},
@@ -75,9 +76,25 @@
     /** New settings from here on; open requests keep what they began with. An index never names another class than before. */
     record Retuned(Settings settings) implements Event { }
 
-    /** A request; {@code classIndex} and {@code tenantIndex} point into the settings (-1: no tenant). */
-    record Arrival(long request, int classIndex, int tenantIndex, String key, long timeLeft, boolean retry)
-        implements Event { }
+    /** Which servers are in an arm of an experiment, by id; arms count from 1. Replaces what was told before. */
+    record Arms(Map<String, Integer> of) implements Event { }
+
+    /**
+     * What the fleet knows of one start of a server: {@code speed} 1 is typical, {@code worth} counts as so many own samples,
+     * {@code mayTry} has this instance try it once; of one that is {@code sick} nothing else is asked.
+     */
+    record OfFleet(String id, long startedAt, double speed, double worth, boolean sick, boolean mayTry) { }
+
+    /** Holds until that time; then an instance is alone again. Replaces what was told before. */
+    record Advised(List<OfFleet> servers, long until) implements Event { }
+
+    /** A request; {@code classIndex} and {@code tenantIndex} point into the settings (-1: no tenant), {@code arm} is the arm it belongs in (0: any server). */
+    record Arrival(long request, int classIndex, int tenantIndex, String key, long timeLeft, boolean retry, int arm)
+        implements Event {
+        public Arrival(long request, int classIndex, int tenantIndex, String key, long timeLeft, boolean retry) {
+            this(request, classIndex, tenantIndex, key, timeLeft, retry, 0);
+        }
+    }
 
     /** Of a request whose body comes in pieces: some were handed on, so no further attempt can be made; its last byte came. */
     record BodyState(long request, boolean spent, boolean whole) implements Event { }
--- a/decision/src/main/java/calicochute/decision/Choice.java
+++ b/decision/src/main/java/calicochute/decision/Choice.java
@@ -7,7 +7,7 @@
  * temperature and ordered walk by headroom. DANGER: departures, docs/design.md. Instances share nothing.
  */
 record Choice(Known known, Estimates estimates, Legality legality, Admission admission, Retries retries,
-              Walk walk, Pick pick, Subset subset) implements Balancer {
+              Pick pick, Subset subset) implements Balancer {
     /** A time-out past so many typical latencies tells of a hung backend, not of load. */
     private static final double HUNG = 5;
     private static final long REVIEW = 250_000;
@@ -20,9 +20,8 @@
         Estimates estimates = new Estimates(known, coldStarts);
         Legality legality = new Legality(known, coldStarts);
         Admission admission = new Admission(known);
-        Walk walk = new Walk(known, legality, estimates);
-        Pick pick = new Pick(known, legality, estimates, admission, walk);
-        return new Choice(known, estimates, legality, admission, new Retries(known), walk, pick,
+        Pick pick = new Pick(known, legality, estimates, admission);
+        return new Choice(known, estimates, legality, admission, new Retries(known), pick,
             new Subset(known));
     }
 
@@ -39,6 +38,11 @@
         if (event instanceof ClientGone e) { finish(known.requests.get(e.request())); }
         if (event instanceof StreamStarted e) { streamStarted(e, known.requests.get(e.request())); }
         if (event instanceof BodyState e) { bodyState(e, known.requests.get(e.request())); }
+        if (event instanceof Arms e) {
+            known.arms = e.of();
+            subset.choose(subset.size());
+        }
+        if (event instanceof Advised e) { subset.advised(e); }
         if (event instanceof Retuned e) { known.retune(e.settings()); }
     }
 
@@ -83,6 +87,7 @@
         if (waited > 0 && left < known.seen[e.classIndex()].latency) { left = 0; }
         int most = known.settings.limits().maxAttempts();
         Request r = new Request(e.request(), e.classIndex(), known.now, known.now + left, most);
+        r.arm = e.arm();
         known.requests.put(r.id, r);
         known.open++;
         known.asked += e.retry() ? 0 : 1;
@@ -95,6 +100,11 @@
         long left = r.deadline - known.now;
         boolean owed = legality.stillOwed(r);
         Server s = owed ? pick.of(r) : null;
+        // DANGER: an experiment causes no denial: where its arm has no room a request crosses over, for good.
+        if (owed && s == null && r.arm != 0) {
+            r.arm = 0;
+            s = pick.of(r);
+        }
         if (s != null) {
             r.send(s, known.now);
             s.allowance -= 1;
@@ -111,7 +121,7 @@
         if (r == null || e.attempt() >= r.sent || !r.attempts[e.attempt()].out) { return; }
         Attempt a = r.attempts[e.attempt()];
         a.ended(e.outcome().provesNotRun());
-        if (estimates.learn(a, e)) { walk.leave(a.server); }
+        if (estimates.learn(a, e)) { pick.leave(a.server); }
         if (e.finished() || r.ended) {
             if (!r.ended && e.outcome() == Outcome.OK) { admission.aim(r, 0); }
             finish(r);
--- a/decision/src/main/java/calicochute/decision/Estimates.java
+++ b/decision/src/main/java/calicochute/decision/Estimates.java
@@ -18,19 +18,32 @@
     private static final double SPEED_MAX = 3;
     /** Unsampled for this long, an estimate has mostly returned to the typical: the way back for the sick. */
     static final double FORGET = 10e6;
+    /** The same for what may not run twice; the share at which it counts one that was never called. */
+    private static final double CAREFUL = 40e6, UNKNOWN = 0.5;
     /** How strongly an own attempt still out discounts its backend. */
     static final double CROWD = 0.5;
+    /** Under this share of the typical speed a backend is sick. */
+    private static final double SICK = 1.0 / 3;
     /** Typical latencies past which an attempt's age bounds its backend's speed. */
     private static final double PATIENCE = 2;
 
     /** A backend's speed as it counts now: shared with own attempts out. */
-    double effective(Server s) { return Math.max(1e-3, alone(s) / (1 + CROWD * s.out)); }
+    double effective(Server s, boolean careful) {
+        return Math.max(1e-3, alone(s, careful) / (1 + CROWD * s.out));
+    }
 
-    /** For one that would be alone: aged to the typical, bounded by the age of attempts out. */
-    double alone(Server s) {
+    /** For one that would be alone: aged to the usual, bounded by the age of attempts out. */
+    double alone(Server s, boolean careful) {
+        // DANGER: what may not run twice must not find out whether a backend is well, or well again.
         // An estimate from the future, by an older process's clock, is one of now.
-        double keep = Math.exp(Math.min(0, s.sampledAt - known.now) / FORGET);
-        double speed = s.speed * keep + known.typical * (1 - keep);
+        double forget = careful ? CAREFUL : FORGET;
+        double keep = s.polled ? Math.exp(Math.min(0, s.sampledAt - known.now) / forget) : 0;
+        var fleet = known.fleet(s);
+        double usual = known.typical * (fleet != null ? fleet.speed() : careful && !s.polled ? UNKNOWN : 1);
+        // DANGER: a path broken here alone is no matter of the fleet's: what failed here is not outweighed.
+        double own = s.samples * keep;
+        if (fleet != null && s.speed >= SICK * known.typical) { keep *= own / (own + fleet.worth() + 1e-9); }
+        double speed = s.speed * keep + usual * (1 - keep);
         // DANGER: a hung backend keeps its score until time-outs; the age of what is out speaks sooner.
         return s.oldest == null ? speed : Math.min(speed, PATIENCE * bound(s.oldest));
     }
@@ -75,6 +88,7 @@
         double delta = Math.max(DELTA, rate > 0 ? SAMPLES * known.use.length / rate * 1e6 : DELTA);
         double alpha = Math.min(ALPHA_MAX, Math.max(atLeast, 1 - Math.exp(-gap / delta)));
         s.speed += alpha * (speed - s.speed);
+        s.samples = 1 + s.samples * Math.exp(-gap / delta);
         s.sampledAt = known.now;
     }
 
@@ -93,6 +107,7 @@
         known.askedRate = smooth(known.askedRate, known.asked / seconds, weight);
         known.answerRate += weight * (known.allAnswers / seconds - known.answerRate);
         known.warmAnswers = known.allAnswers = known.asked = 0;
-        return (int) Arrays.stream(known.use).filter(s -> s.polled && alone(s) < known.typical / 3).count();
+        double sick = known.typical * SICK;
+        return (int) Arrays.stream(known.use).filter(s -> s.polled && alone(s, false) < sick).count();
     }
 }
--- a/decision/src/main/java/calicochute/decision/Handover.java
+++ b/decision/src/main/java/calicochute/decision/Handover.java
@@ -14,7 +14,7 @@
         var servers = new TreeMap<String, Learnt.OfServer>();
         for (Server s : from.servers.values()) {
             // Without the discount for the attempts out: the other module has none.
-            servers.put(s.id, new Learnt.OfServer(estimates.effective(s) * (1 + Estimates.CROWD * s.out), s.polled,
+            servers.put(s.id, new Learnt.OfServer(estimates.effective(s, false) * (1 + Estimates.CROWD * s.out), s.polled,
                 s.entry.startedAt()));
         }
         var classes = new TreeMap<String, Learnt.OfClass>();
--- a/decision/src/main/java/calicochute/decision/Known.java
+++ b/decision/src/main/java/calicochute/decision/Known.java
@@ -4,15 +4,22 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import calicochute.decision.Balancer.Actions;
+import calicochute.decision.Balancer.Advised;
+import calicochute.decision.Balancer.Effect;
+import calicochute.decision.Balancer.OfFleet;
 import calicochute.decision.Balancer.RequestClass;
 import calicochute.decision.Balancer.Settings;
 
 /** All that one instance has been told and has learnt: its whole state. Data, no decisions. */
 final class Known {
+    static final Server[] NONE = { };
     final SplittableRandom random;
     Settings settings;
     RequestClass[] classes;
+    /** There are classes that lose nothing where a backend is found out to be bad. */
+    boolean anyRepeatable;
     /** What has been seen of the classes, as they are numbered now and by name. */
     Seen[] seen;
     final Map<String, Seen> named = new HashMap<>();
@@ -31,6 +38,13 @@
     boolean subscribed;
     int failedCalls;
 
+    /** Arms of experiments: of each backend, and the backends of each that this instance uses. */
+    Map<String, Integer> arms = Map.of();
+    final Map<Integer, Server[]> armed = new HashMap<>();
+    /** What the fleet knows, by backend, and until when. */
+    Map<String, OfFleet> fleet = Map.of();
+    long fleetUntil;
+
     /** The mean speed of the backends in use. */
     double typical = 1;
     /** Answers a second: of a warm backend in use on average, and of all together; those since the last review. */
@@ -65,10 +79,37 @@
         classes = to.classes().toArray(new RequestClass[0]);
         seen = new Seen[classes.length];
         Arrays.setAll(seen, i -> named.computeIfAbsent(classes[i].name(), n -> new Seen()));
+        anyRepeatable = to.classes().stream().anyMatch(c -> c.effect() == Effect.REPEATABLE);
         arrivals = Arrays.copyOf(arrivals, classes.length * 3);
         tenantTokens = Arrays.copyOf(tenantTokens, to.tenants().size());
     }
 
+    void told(Advised e) {
+        fleet = e.servers().stream().collect(Collectors.toMap(OfFleet::id, f -> f, (a, b) -> b));
+        fleetUntil = e.until();
+    }
+
+    /** What the fleet knows of a backend's present start now; null for nothing. */
+    OfFleet fleet(Server s) {
+        OfFleet known = now < fleetUntil ? fleet.get(s.id) : null;
+        return known == null || known.startedAt() != s.entry.startedAt() ? null : known;
+    }
+
+    /** It is this instance's turn to try it. */
+    boolean duty(Server s) {
+        OfFleet told = fleet(s);
+        return told != null && told.mayTry();
+    }
+
+    /** DANGER: when few are left all instances call each of them; parts from before add up to many wholes. */
+    void shared(int ready) {
+        if (ready == 0) { return; }
+        double now = (double) settings.balancers() * use.length / ready;
+        warmRate *= callers > 0 ? callers / now : 1;
+        callers = now;
+        mostReady = Math.max(mostReady, ready);
+    }
+
     Seen seen(Request r) { return seen[r.cls]; }
 
     RequestClass classOf(Request r) { return classes[r.cls]; }
--- a/decision/src/main/java/calicochute/decision/Legality.java
+++ b/decision/src/main/java/calicochute/decision/Legality.java
@@ -29,6 +29,11 @@
         return bound(r) && known.now - first.sentAt < c.window() && sameGroup(c, first.server, s);
     }
 
+    /** Gets no second chance everywhere: others find out which backends are bad. */
+    boolean careful(Request r) {
+        return known.anyRepeatable && known.classOf(r).effect() != Effect.REPEATABLE;
+    }
+
     /** No attempt may have run, or any may run again. */
     private boolean runsFreely(Request r) {
         return r.firstThatMayHaveRun() == null || known.classOf(r).effect() == Effect.REPEATABLE;
--- a/decision/src/main/java/calicochute/decision/Request.java
+++ b/decision/src/main/java/calicochute/decision/Request.java
@@ -11,6 +11,8 @@
     /** Attempts sent, and how many it may have, as the settings were when it arrived. */
     int sent, most;
     boolean ended;
+    /** The arm it belongs in; 0 for any backend. */
+    int arm;
 
     Request(long id, int cls, long arrivedAt, long deadline, int most) {
         this.id = id;
--- a/decision/src/main/java/calicochute/decision/Server.java
+++ b/decision/src/main/java/calicochute/decision/Server.java
@@ -1,11 +1,12 @@
 package calicochute.decision;
 
+import java.util.SplittableRandom;
 import calicochute.decision.Balancer.Backend;
 
 /** What is kept of one backend. Data, no decisions. */
 final class Server {
     final String id;
-    /** Place in the order from which an instance takes its subset. */
+    /** Place in the ring from which instances take their subsets: a hash of the id, the same at all. */
     final long rank;
     Backend entry;
     boolean listed;
@@ -13,6 +14,8 @@
     boolean polled;
     double speed = 1;
     long sampledAt;
+    /** How many samples are in its speed, older ones counting less. */
+    double samples;
     /** Attempts out, oldest first. */
     Attempt oldest, newest;
     int out;
@@ -24,8 +27,18 @@
     /** Scratch of one pick: effective speed, then weight. */
     double score;
 
-    Server(String id, long rank) {
+    Server(String id) {
         this.id = id;
-        this.rank = rank;
+        rank = new SplittableRandom(id.hashCode()).nextLong();
+    }
+
+    /** It runs anew: nothing is known of it. */
+    void started(long now, double usual, double allowed) {
+        polled = false;
+        samples = 0;
+        speed = usual;
+        sampledAt = now;
+        allowance = allowed;
+        allowanceAt = now;
     }
 }
--- a/decision/src/main/java/calicochute/decision/Subset.java
+++ b/decision/src/main/java/calicochute/decision/Subset.java
@@ -2,6 +2,10 @@
 
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import calicochute.decision.Balancer.Backend;
 import calicochute.decision.Balancer.BackendList;
 import calicochute.decision.Balancer.BackendState;
@@ -12,6 +16,9 @@
     /** Callers for each backend (tables of connections are small), and backends a caller needs. */
     private static final double CALLERS = 8;
     private static final int LEAST = 12;
+    private static final double GOLDEN = 0.6180339887498949;
+    /** Share of them that is at home, where crossing zones is priced. */
+    private static final double AT_HOME = 2.0 / 3;
     static final int TIMER_SUBSCRIBE = 2;
 
     void list(BackendList e) {
@@ -39,35 +46,15 @@
         Server s = known.servers.get(b.id());
         if (b.state() == BackendState.GONE && s != null) { s.listed = false; }
         if (b.state() == BackendState.GONE) { return; }
-        if (s == null) { known.servers.put(b.id(), s = new Server(b.id(), rank(b.id()))); }
-        if (s.entry == null || s.entry.startedAt() != b.startedAt()) {
-            s.polled = false;
-            s.speed = known.typical;
-            s.sampledAt = known.now;
-            // A random start spreads the first calls of many instances over time.
-            s.allowance = known.random.nextDouble();
-            s.allowanceAt = known.now;
-        }
+        if (s == null) { known.servers.put(b.id(), s = new Server(b.id())); }
+        // A random allowance spreads the first calls of many instances over time.
+        boolean fresh = s.entry == null || s.entry.startedAt() != b.startedAt();
+        if (fresh) { s.started(known.now, known.typical, known.random.nextDouble()); }
         s.entry = b;
         s.listed = true;
     }
 
-    /** A hash of the id: all instances that share an order rank alike. */
-    private long rank(String id) {
-        long h = (known.settings.me() % rounds() + 1) * 0x9E3779B97F4A7C15L;
-        for (int i = 0; i < id.length(); i++) {
-            h = (h ^ id.charAt(i)) * 0xBF58476D1CE4E5B9L;
-            h ^= h >>> 29;
-        }
-        return h;
-    }
-
-    /** Instances of one round take neighbouring slices of one order, so that callers are spread evenly. */
-    private int rounds() {
-        return Math.min(known.settings.balancers(), (int) CALLERS);
-    }
-
-    private int size() {
+    int size() {
         return (int) Math.max(LEAST, Math.ceil(CALLERS * known.ranked.length / known.settings.balancers()));
     }
 
@@ -84,26 +71,43 @@
         if (want > used && used < known.ranked.length || want < used * 2 / 3) { choose(want); }
     }
 
-    /** DANGER: when few are left all instances call each of them; parts from before add up to many wholes. */
-    private void shared(int ready) {
-        double callers = (double) known.settings.balancers() * known.use.length / ready;
-        known.warmRate *= known.callers > 0 ? known.callers / callers : 1;
-        known.callers = callers;
-        known.mostReady = Math.max(known.mostReady, ready);
+    /** DANGER: of one that the fleet holds for sick one instance at a time finds out how it is. */
+    void advised(Balancer.Advised e) {
+        known.told(e);
+        var duties = Arrays.stream(known.ranked).filter(known::duty).toList();
+        duties.forEach(s -> s.polled = false);
+        var all = Stream.concat(Arrays.stream(known.use), duties.stream());
+        known.use = all.distinct().toArray(Server[]::new);
     }
 
-    private void choose(int size) {
-        Server[] before = known.use;
-        Server[] pool = Arrays.stream(known.ranked).filter(Legality::notDraining).toArray(Server[]::new);
-        int ready = pool.length, me = known.settings.me() / rounds();
-        int perRound = known.settings.balancers() / rounds();
-        int start = (int) ((long) me * ready / perRound % Math.max(1, ready));
-        known.use = new Server[Math.min(size, ready)];
-        Arrays.setAll(known.use, i -> pool[(start + i) % ready]);
-        if (ready > 0) { shared(ready); }
-        var in = Arrays.asList(known.use);
-        for (Server s : before) {
+    void choose(int size) {
+        // Where crossing is priced, abroad is for when home fails; of a slice over all zones few are home.
+        boolean priced = known.settings.goal().crossZonePrice() > 0;
+        Predicate<Server> home = s -> priced && s.entry.zone().equals(known.settings.zone());
+        Set<Server> in = new LinkedHashSet<>();
+        take(in, home, (int) Math.round(size * AT_HOME));
+        take(in, home.negate(), size);
+        take(in, home, size);
+        for (Server s : known.use) {
             if (s.listed && !in.contains(s)) { known.actions.closeIdle(s.id); }
         }
+        known.use = in.toArray(Known.NONE);
+        known.shared((int) Arrays.stream(known.ranked).filter(Legality::notDraining).count());
+        known.armed.clear();
+        for (int arm : known.arms.values()) {
+            Set<Server> of = new LinkedHashSet<>();
+            take(of, s -> known.arms.getOrDefault(s.id, 0) == arm, LEAST);
+            known.armed.put(arm, of.toArray(Known.NONE));
+        }
+    }
+
+    /** This instance's part of a ring: by the golden ratio those of any row of instances lie evenly. */
+    private void take(Set<Server> in, Predicate<Server> wanted, int most) {
+        var all = Arrays.stream(known.ranked).filter(Legality::notDraining);
+        Server[] ring = all.filter(wanted).toArray(Server[]::new);
+        double start = known.settings.me() * GOLDEN % 1 * ring.length;
+        for (int i = 0; i < ring.length && in.size() < most; i++) {
+            in.add(ring[(int) (start + i) % ring.length]);
+        }
     }
 }
--- a/decision/src/test/java/calicochute/decision/EdgeTest.java
+++ b/decision/src/test/java/calicochute/decision/EdgeTest.java
@@ -58,7 +58,7 @@
 
     private static void mustBeFinite(Choice c) {
         for (Server s : c.known().servers.values()) {
-            double effective = c.estimates().effective(s);
+            double effective = c.estimates().effective(s, false);
             assertTrue(Double.isFinite(s.speed) && s.speed >= 0 && Double.isFinite(effective) && effective > 0
                 && Double.isFinite(s.allowance), () -> s.id + " " + s.speed + " " + s.allowance);
         }
@@ -92,7 +92,7 @@
         s.speed = 0.5;
         for (long ahead : new long[] {1, SECOND, 100 * SECOND, 100_000 * SECOND}) {
             s.sampledAt = f.now + ahead;
-            assertEquals(0.5, f.choice.estimates().effective(s), 1e-9, "ahead by " + ahead);
+            assertEquals(0.5, f.choice.estimates().effective(s, false), 1e-9, "ahead by " + ahead);
         }
     }
 
@@ -116,9 +116,9 @@
             f.outcome(0, Outcome.OK, 100_000);
         }
         f.now += 100_000;
-        double before = f.choice.estimates().effective(s) * (1 + Estimates.CROWD);
+        double before = f.choice.estimates().effective(s, false) * (1 + Estimates.CROWD);
         f.outcome(0, Outcome.OK, 100_000);
-        assertTrue(f.choice.estimates().effective(s) >= before, before + " became " + f.choice.estimates().effective(s));
+        assertTrue(f.choice.estimates().effective(s, false) >= before, before + " became " + f.choice.estimates().effective(s, false));
     }
 
     /** Counts that only grow must not turn over: in daily service they are never set back. */
--- a/decision/src/test/java/calicochute/decision/MechanismTest.java
+++ b/decision/src/test/java/calicochute/decision/MechanismTest.java
@@ -138,8 +138,8 @@
         int picked = 0;
         int draws = 4000;
         for (int i = 0; i < draws; i++) {
-            double a = f.choice.estimates().effective(f.choice.known().servers.get("b0"));
-            double b = f.choice.estimates().effective(f.choice.known().servers.get("b1"));
+            double a = f.choice.estimates().effective(f.choice.known().servers.get("b0"), false);
+            double b = f.choice.estimates().effective(f.choice.known().servers.get("b1"), false);
             double best = Math.max(a, b);
             double ea = Math.exp(a / best / tau);
             double eb = Math.exp(b / best / tau);
@@ -566,7 +566,7 @@
         assertEquals(learnt.servers().get("b1").speed(), speed(next, "b1"));
         Fixture late = new Fixture(settings(List.of(REPEATABLE), Fixture.LIMITS)).list(fleet(3));
         Handover.recall(late.choice, learnt, late.now, 100 * SECOND);
-        assertEquals(late.choice.known().typical, late.choice.estimates().effective(late.choice.known().servers.get("b1")), 0.01, "mostly forgotten since");
+        assertEquals(late.choice.known().typical, late.choice.estimates().effective(late.choice.known().servers.get("b1"), false), 0.01, "mostly forgotten since");
         assertTrue(!next.choice.known().servers.get("b2").polled, "started since: not the server that was known");
         int slow = 0;
         for (int i = 0; i < 50; i++) {
