--- /dev/null
+++ b/experiment/src/main/java/calicochute/experiment/Arm.java
@@ -0,0 +1,4 @@
+package calicochute.experiment;
+
+/** The two sides of an experiment. */
+public enum Arm { CONTROL, TREATMENT }
