--- a/experiment/src/main/java/calicochute/experiment/EffectTest.java
+++ b/experiment/src/main/java/calicochute/experiment/EffectTest.java
@@ -28,8 +28,8 @@
  */
 final class EffectTest {
     /** As multiples of least / variance, the best for an effect of `least`; and the logarithms of their weights. */
-    static final double[] TIMES = {0.6, 1.1, 2, 5};
-    private static final double[] LOG_WEIGHT = {StrictMath.log(0.2), StrictMath.log(0.4), StrictMath.log(0.3), StrictMath.log(0.1)};
+    static final double[] TIMES = {0.7, 1, 1.5, 3};
+    private static final double[] LOG_WEIGHT = {StrictMath.log(0.2), StrictMath.log(0.45), StrictMath.log(0.25), StrictMath.log(0.1)};
     static final int MANY = TIMES.length;
     /** Hypotheses to be rejected: effect at most 0, at least 0, at least `least`, at most -`least`. */
     static final int HYPOTHESES = 4;
