--- a/experiment/src/main/java/calicochute/experiment/Teller.java
+++ b/experiment/src/main/java/calicochute/experiment/Teller.java
@@ -24,6 +24,8 @@
 public final class Teller {
     private static final int MOST_RECENT = 8192;
     private static final int MOST_OPEN = 512;
+    /** Microseconds: deadlines are kept this exactly, so that a window holds few of them. */
+    private static final long STEP = 100_000;
 
     /** A session in the experiment; `counted` is false where only its arm matters. */
     public record Ticket(Arm arm, long window, int lane, String unit, long deadline, boolean counted) { }
@@ -36,8 +38,8 @@
         final long[] parts = new long[4 * Counts.PARTS];
         double asked;
         double cut;
-        long open;
-        long deadline = Long.MIN_VALUE;
+        /** Sessions not ended, by deadline in steps, rounded up. */
+        final TreeMap<Long, Long> deadlines = new TreeMap<>();
 
         Open(double share) {
             this.share = share;
@@ -81,6 +83,10 @@
         nextToClose = first;
     }
 
+    public Experiment experiment() {
+        return e;
+    }
+
     /**
      * @param now microseconds of the wall clock
      * @param deadline of the session, the same clock
@@ -117,11 +123,14 @@
             }
             into.open++;
         }
-        w.open++;
-        w.deadline = Math.max(w.deadline, deadline);
+        w.deadlines.merge(step(deadline), 1L, Long::sum);
         return new Ticket(arm, window, at, unit, deadline, true);
     }
 
+    private static long step(long deadline) {
+        return -Math.floorDiv(-deadline, STEP);
+    }
+
     private boolean turn(String tenant, long window) {
         return Math.floorMod(window - first, windows) == (long) (Assignment.place(e, tenant, "turn") * windows)
             && (int) (Assignment.place(e, tenant, "place") * peers) == me;
@@ -158,7 +167,7 @@
         double weight = most > 0 ? Math.min(asked, most) / most : 1;
         double part = asked > 0 ? Math.max(0, Math.min(1, served / asked)) : 0;
         long y = Math.round(weight * part * Sums.PARTS);
-        w.open--;
+        w.deadlines.computeIfPresent(step(ticket.deadline()), (any, many) -> many > 1 ? many - 1 : null);
         w.asked += Math.max(0, asked);
         w.cut += most > 0 ? Math.max(0, asked - most) : 0;
         Cellful into = e.unit() == Unit.TENANT ? w.tenants.get(ticket.unit()) : w.cells.get(new Cell(ticket.arm(), ticket.lane()));
@@ -176,7 +185,7 @@
         List<Counts> closed = new ArrayList<>();
         while ((nextToClose + 1) * length <= now && closed.size() < MOST_OPEN) {
             Open w = open.get(nextToClose);
-            if (w != null && w.open > 0 && w.deadline > now) {
+            if (w != null && !w.deadlines.isEmpty() && w.deadlines.lastKey() * STEP > now) {
                 break;
             }
             open.remove(nextToClose);
--- a/experiment/src/test/java/calicochute/experiment/Sim.java
+++ b/experiment/src/test/java/calicochute/experiment/Sim.java
@@ -35,6 +35,8 @@
     final Stopper stopper;
     final SplittableRandom random;
     State state;
+    /** Of the four parts of the arm's servers, that of the session being drawn. */
+    int servers;
     final List<Sealed> history = new ArrayList<>();
 
     Sim(Experiment e, long seed) {
@@ -62,6 +64,7 @@
         for (int i = 0; i < sessions; i++) {
             int lane = random.nextInt(2);
             Arm arm = random.nextDouble() < share ? Arm.TREATMENT : Arm.CONTROL;
+            servers = random.nextInt(4);
             double y = outcome.of(random, lane, arm, window);
             long ths = Math.round(Math.max(0, y) * Sums.PARTS);
             int at = random.nextInt(PEERS.size());
@@ -70,7 +73,7 @@
             s[1] += ths;
             s[2] += ths * ths;
             s[3] += y < 0 ? Sums.PARTS : 0;
-            int part = 2 * (arm.ordinal() * 4 + random.nextInt(4));
+            int part = 2 * (arm.ordinal() * 4 + servers);
             parts[at][part]++;
             parts[at][part + 1] += ths;
         }
