--- a/experiment/src/test/java/calicochute/experiment/StopperTest.java
+++ b/experiment/src/test/java/calicochute/experiment/StopperTest.java
@@ -91,7 +91,7 @@
         }
     }
 
-    @Property(tries = 1000)
+    @Property(tries = 500)
     void anyBytesAreAStateOrATypedError(@ForAll long seed, @ForAll byte[] noise) {
         byte[] bytes = new Sim(Sim.experiment(0.3, 0.05, 50, GUARD), seed).state.bytes();
         for (int i = 0; i < noise.length; i++) {
@@ -167,5 +167,8 @@
             assertThrows(IllegalArgumentException.class, () -> sim.stopper.move(sim.state, share, 10));
         }
         assertThrows(IllegalArgumentException.class, () -> sim.stopper.move(sim.state, 0.5, 0));
+        State moved = sim.stopper.move(sim.state, 0.5, 9);
+        assertEquals(0.2, moved.share(8));
+        assertThrows(IllegalArgumentException.class, () -> sim.stopper.move(moved, 0.6, 12));
     }
 }
