--- /dev/null
+++ b/bandit/src/main/java/calicochute/bandit/Known.java
@@ -0,0 +1,126 @@
+package calicochute.bandit;
+
+import java.util.Collection;
+
+/** What is known of one start of a server: the posterior, whether it is sick, and the correction of its load. */
+final class Known {
+    /** Logs below the kind's: half a sick server's way back, sick, and where latency begins to count for more than capacity and does alone. */
+    static final double WELL = -0.9;
+    static final double SICK = -1.1;
+    static final double TROUBLE = -0.5;
+    static final double BROKEN = -0.9;
+    /** Samples that what it was before a restart is worth. */
+    private static final double RESTARTED = 2;
+    private final Setting setting;
+    /** What it was before it started anew, NaN: not known. */
+    private final double before;
+    long startedAt;
+    double samples;
+    double raw;
+    double dispatches;
+    private double ok;
+    private double failed;
+    private double apart;
+    boolean sick;
+    boolean hopeful;
+    private int relapses;
+    /** Rows up to this window are of before the last change. */
+    private long since = Long.MIN_VALUE;
+    private long corrected = Long.MIN_VALUE;
+    /** Log of the factor by which its dispatches are to change, beyond what its speed says. */
+    double bias;
+    // The posterior of the log speed, and the success rate.
+    double mean;
+    double width;
+    double success = 1;
+
+    Known(Setting setting, long startedAt, Known before) {
+        this.setting = setting;
+        this.startedAt = startedAt;
+        this.before = before == null ? Double.NaN : before.mean;
+    }
+
+    /** Adds up the last windows. */
+    void see(long now, Collection<Sight> sights) {
+        samples = raw = dispatches = ok = failed = apart = 0;
+        for (Sight s : sights) {
+            double weight = weight(now, s.window());
+            dispatches += weight * s.dispatches();
+            if (s.window() <= since) {
+                continue;
+            }
+            ok += weight * (s.dispatches() - s.failed());
+            failed += weight * s.failed();
+            samples += weight * s.answered();
+            raw += weight * s.answered() * s.log();
+            apart += weight * s.answered() * s.apart();
+        }
+        raw = samples == 0 ? 0 : raw / samples;
+        apart = samples == 0 ? 0 : apart / samples;
+    }
+
+    private double weight(long now, long window) {
+        return Math.exp(-(double) Math.max(0, now - (window + 1) * setting.window()) / setting.age());
+    }
+
+    /** The posterior, from the kind's mean log speed and success rate. A kind's mean counts little for one that is far off it. */
+    void judge(double kind, double kindSuccess) {
+        double prior = Double.isNaN(before) ? kind : 0.75 * kind + 0.25 * before;
+        double off = (raw - prior) / (2 * Math.sqrt(setting.noise() / (samples + 1) + setting.noise() / setting.alike()));
+        double alike = setting.alike() / (1 + (samples == 0 ? 0 : off * off));
+        double own = samples < 1 ? 0 : worth();
+        mean = (own * raw + alike * prior) / (own + alike);
+        width = Math.sqrt(setting.noise() / (own + alike) + apart);
+        // The prior of a success rate is worth less the further off the rate is, as above.
+        double doubt = kindSuccess - (ok + failed == 0 ? kindSuccess : ok / (ok + failed));
+        double like = setting.alike() / (1 + 16 * doubt * doubt);
+        success = (ok + like * kindSuccess) / (ok + failed + like);
+    }
+
+    /** The samples' worth: what the witnesses differ by is the floor of the variance, however many samples there are. */
+    double worth() {
+        if (samples < 1) {
+            return Double.isNaN(before) ? 0 : RESTARTED;
+        }
+        return Math.min(setting.most(), 1 / (1 / samples + apart / setting.noise()));
+    }
+
+    /** From the newest window: sick at once, and back at once after a few tries that went well; after a relapse only after a window of good ones. */
+    void health(Sight newest, double kind) {
+        if (newest.window() <= since) {
+            return;
+        }
+        double good = newest.dispatches() - newest.failed();
+        double below = newest.log() - kind;
+        if (!sick) {
+            boolean fails = newest.failed() >= 2 && newest.failing() >= 0.5;
+            boolean slow = newest.answered() >= 4 && newest.witnesses() >= 3 && below <= SICK;
+            if (fails || slow) {
+                sick = true;
+                hopeful = false;
+                since = newest.window();
+            }
+            return;
+        }
+        boolean fast = newest.answered() >= 1 && below >= WELL;
+        hopeful = fast;
+        boolean clean = newest.failing() < 0.1 && below >= WELL / 2;
+        if (fast && newest.answered() >= 2 && good >= 2 && (relapses == 0 || clean)) {
+            sick = false;
+            relapses++;
+            since = newest.window();
+            bias = 0;
+        }
+    }
+
+    /** Load by speed: at equal load by capacity the dispatches are as the speeds. Once for each window. */
+    void correct(long window, double wanted, double seen) {
+        // What was sent before its way back says nothing of the share it is given now.
+        if (window <= corrected || since != Long.MIN_VALUE && window <= since + 2) {
+            return;
+        }
+        corrected = window;
+        double off = seen <= 0 ? 0.5 : Math.max(-0.5, Math.min(0.5, Math.log(wanted / seen)));
+        bias = Math.max(-1.5, Math.min(1.5, setting.keep() * bias + setting.gain() * off));
+    }
+}
