The fleet bound to the balancer: shared outcomes, advice, split experiments by datagrams

Cause: outcomes, gossip, bandit and experiment were modules without I/O; nothing carried them, so balancers knew no more than each sees alone.

Change: package fleet (one UDP socket and its thread, the part on the decision thread, trials, a state folder written whole or not at all with checksums) and package operator (the operator's file, YAML by Jackson, each complaint with place, rule and remedy). Off unless PROXY_FLEET names a file and caps.peers is true. Node is split (Staff, Heritage, FleetStart). GET /admin/experiments and /admin/fleet; check tries the file; SIGHUP takes over experiments. A teller begins at the window in which its process began: from the experiment's first window on, one restarted after 12 h would have told 21,600 empty windows. Own counts not sealed yet go to whoever comes to seal.

Not measured yet: cost at hundreds of processes.

--- a/balancer/src/main/java/calicochute/admin/Call.java
+++ b/balancer/src/main/java/calicochute/admin/Call.java
@@ -11,6 +11,10 @@
 
     record Stats() implements Call { }
 
+    record Experiments() implements Call { }
+
+    record Fleet() implements Call { }
+
     record Cordon(String host) implements Call { }
 
     record Uncordon(String host) implements Call { }
@@ -23,7 +27,8 @@
     record Wrong(int status, String why) implements Call { }
 
     String PREFIX = "/admin/";
-    Map<String, String> METHODS = Map.of("health", "GET", "stats", "GET", "cordon", "POST", "uncordon", "POST",
+    Map<String, String> METHODS = Map.of("health", "GET", "stats", "GET", "experiments", "GET", "fleet", "GET",
+        "cordon", "POST", "uncordon", "POST",
         "quiesce", "POST", "resume", "POST");
 
     static Call read(String method, String target, String body) {
@@ -39,6 +44,8 @@
         return switch (name) {
             case "health" -> new Health();
             case "stats" -> new Stats();
+            case "experiments" -> new Experiments();
+            case "fleet" -> new Fleet();
             case "quiesce" -> new Quiesce();
             case "resume" -> new Resume();
             default -> host(name, body);
--- a/balancer/src/main/java/calicochute/admin/CallHandler.java
+++ b/balancer/src/main/java/calicochute/admin/CallHandler.java
@@ -80,6 +80,10 @@
             respond(operations.serves() ? 200 : 503, operations.serves() ? "serving" : "not yet");
         } else if (call instanceof Call.Stats) {
             respond(200, operations.figures());
+        } else if (call instanceof Call.Experiments) {
+            respond(200, operations.experiments());
+        } else if (call instanceof Call.Fleet) {
+            respond(200, operations.fleet());
         } else if (call instanceof Call.Cordon cordon) {
             operations.takeOut(cordon.host(), r -> ended("cordon " + cordon.host(), r));
         } else if (call instanceof Call.Uncordon uncordon) {
--- a/balancer/src/main/java/calicochute/admin/Operations.java
+++ b/balancer/src/main/java/calicochute/admin/Operations.java
@@ -16,6 +16,12 @@
     /** The figures, one a line. */
     String figures();
 
+    /** The split experiments, one a line. */
+    String experiments();
+
+    /** Who of the fleet is there, and what travels, one a line. */
+    String fleet();
+
     /** Takes a backend server out, until it is called back. */
     void takeOut(String server, Consumer<Result> done);
 
--- /dev/null
+++ b/balancer/src/main/java/calicochute/fleet/Trial.java
@@ -0,0 +1,285 @@
+package calicochute.fleet;
+
+import calicochute.decision.Balancer.Backend;
+import calicochute.experiment.Arm;
+import calicochute.experiment.Counts;
+import calicochute.experiment.Experiment;
+import calicochute.experiment.Experiment.Server;
+import calicochute.experiment.Gathered;
+import calicochute.experiment.Sealed;
+import calicochute.experiment.State;
+import calicochute.experiment.Stopper;
+import calicochute.experiment.Teller;
+import calicochute.experiment.Teller.Ticket;
+import calicochute.experiment.UnreadableException;
+import calicochute.experiment.Verdict;
+import calicochute.experiment.seal.Effect;
+import calicochute.experiment.seal.Place;
+import calicochute.experiment.seal.Register;
+import calicochute.experiment.seal.Timing;
+import calicochute.metrics.Log;
+import calicochute.operator.OperatorFileReader;
+import calicochute.outcomes.Owners;
+import calicochute.outcomes.Windows;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongConsumer;
+
+/**
+ * One experiment at one balancer: assigns and counts its sessions, tells the windows that are whole to those who may seal them, and seals them where it is its
+ * turn. Verdicts come out of the register alone, so that all read the same. On the decision thread.
+ */
+final class Trial {
+    /** Windows from the one in which an experiment is begun, or a share moved, to the first that counts: all have heard by then. */
+    private static final int LEAD = 5;
+    /** Those who may seal: so many in the order of the name's hash. */
+    private static final int SEALERS = 3;
+    /** Microseconds past the last deadline of a window: for the counts to arrive, and until those who have not told are left out. */
+    private static final long SETTLE = 700_000;
+    private static final long GRACE = 2_500_000;
+    private static final long AGAIN = 300_000;
+    private static final int MOST_WINDOWS = 64;
+
+    /** What a trial needs of its surroundings. */
+    interface Host {
+        void counts(String name, String peer, byte[] counts);
+
+        void seal(String name, String peer, byte[] message);
+
+        /** {@code kept} hears the token once it is kept; at once where nothing outlives the process. */
+        void keep(String name, byte[] state, long token, LongConsumer kept);
+    }
+
+    private final Experiment experiment;
+    private final String name;
+    private final Windows windows;
+    private final List<String> peers;
+    private final String me;
+    private final long deadline;
+    private final Host host;
+    private final Stopper stopper;
+    private final Register register;
+    private final TreeMap<Long, Map<String, Counts>> gathered = new TreeMap<>();
+    private State state;
+    private Teller teller;
+    private long proposedFor = Long.MIN_VALUE;
+    private int proposedWith;
+    /** This balancer's own of windows not sealed yet: told once more, and anew to whoever comes to seal. */
+    private final TreeMap<Long, byte[]> own = new TreeMap<>();
+    private long toldAt = Long.MAX_VALUE;
+    private final long began;
+    private long unreadable;
+    private Collection<String> seen = List.of();
+    private List<String> sealers = List.of();
+
+    /**
+     * @param deadline the longest of any class, microseconds
+     * @param kept the register's state as last kept, null for none
+     */
+    Trial(Experiment experiment, Windows windows, List<String> peers, String me, long start, long deadline, boolean remembers, byte[] kept, Host host) {
+        this.experiment = experiment;
+        this.windows = windows;
+        this.peers = peers;
+        this.me = me;
+        this.deadline = deadline;
+        this.host = host;
+        began = start;
+        stopper = new Stopper(experiment, windows.length(), LEAD);
+        name = experiment.name() + "@" + Integer.toHexString(stopper.definition());
+        register = new Register(experiment.name(), stopper.definition(), peers, me, start, remembers, kept, Timing.USUAL);
+        read(false);
+    }
+
+    /** With the definition in it: one that is changed is another. */
+    String name() {
+        return name;
+    }
+
+    Experiment experiment() {
+        return experiment;
+    }
+
+    /** The arm whose servers a server belongs to, or null. */
+    Arm armOf(Backend b) {
+        Server server = OperatorFileReader.server(b);
+        return experiment.control().takes(server) ? Arm.CONTROL : experiment.treatment().takes(server) ? Arm.TREATMENT : null;
+    }
+
+    /** Null where the session is not in it, or it has not begun. */
+    Ticket begin(long now, long until, String call, String lane, String tenant, boolean retry) {
+        return teller == null ? null : teller.begin(now, until, call, lane, tenant, retry);
+    }
+
+    void over(Ticket ticket, double asked, double served, boolean failed, boolean crossed, String server) {
+        teller.over(ticket, asked, served, failed, crossed, server);
+    }
+
+    // ---- Counts
+
+    void heardCounts(long now, String from, byte[] body) {
+        try {
+            take(now, from, Counts.of(body));
+        } catch (UnreadableException e) {
+            unreadable++;
+        }
+    }
+
+    private void take(long now, String from, Counts counts) {
+        long window = counts.window();
+        boolean wanted = state != null && window > state.window() && window <= windows.number(now) && window > windows.number(now) - MOST_WINDOWS;
+        if (wanted) {
+            gathered.computeIfAbsent(window, w -> new HashMap<>()).merge(from, counts,
+                (a, b) -> a.equals(b) ? a : Gathered.NONE.with(from, a).with(from, b).of(window).get(from));
+        }
+    }
+
+    // ---- Each tick
+
+    void tick(long now, Collection<String> live) {
+        if (!seen.equals(live)) {
+            seen = live;
+            List<String> before = sealers;
+            sealers = Owners.of("experiment " + name, live, SEALERS);
+            sealers.stream().filter(s -> !before.contains(s) && !s.equals(me)).forEach(s -> own.values().forEach(c -> host.counts(name, s, c)));
+        }
+        int rank = sealers.indexOf(me);
+        register.turn(rank < 0 ? SEALERS : rank);
+        register.tick(now);
+        if (teller != null) {
+            tell(now);
+        }
+        if (rank >= 0) {
+            propose(now, live);
+        }
+        act(now);
+    }
+
+    private void tell(long now) {
+        if (now >= toldAt + AGAIN || now < toldAt && toldAt != Long.MAX_VALUE) {
+            // Once more, unchanged: datagrams get lost, and a window told twice is the same window.
+            toldAt = Long.MAX_VALUE;
+            if (!own.isEmpty()) {
+                send(own.lastEntry().getValue());
+            }
+        }
+        for (Counts counts : teller.close(now)) {
+            if (counts.window() > state.window()) {
+                take(now, me, counts);
+                own.put(counts.window(), counts.bytes());
+                toldAt = now;
+                send(own.lastEntry().getValue());
+            }
+        }
+    }
+
+    private void send(byte[] counts) {
+        sealers.stream().filter(s -> !s.equals(me)).forEach(s -> host.counts(name, s, counts));
+    }
+
+    private void propose(long now, Collection<String> live) {
+        Place place = register.place();
+        if (state == null) {
+            register.propose(now, place, stopper.begin(windows.number(now) + LEAD).bytes());
+            return;
+        }
+        long window = state.window() + 1;
+        Map<String, Counts> heard = gathered.getOrDefault(window, Map.of());
+        long due = windows.end(window) + deadline + SETTLE;
+        boolean all = heard.keySet().containsAll(live);
+        if (state.over(experiment) || now < due || !all && now < due + GRACE || proposedFor == window && proposedWith == heard.size()) {
+            return;
+        }
+        proposedFor = window;
+        proposedWith = heard.size();
+        Sealed sealed = Sealed.of(experiment, window, state.share(window), heard, peers);
+        register.propose(now, place, stopper.next(state, sealed).bytes());
+    }
+
+    void heardSeal(long now, String from, byte[] message) {
+        register.received(now, from, message);
+        act(now);
+    }
+
+    private void act(long now) {
+        for (List<Effect> effects = register.effects(); !effects.isEmpty(); effects = register.effects()) {
+            for (Effect effect : effects) {
+                if (effect instanceof Effect.Send send) {
+                    host.seal(name, send.to(), send.message());
+                } else if (effect instanceof Effect.Persist persist) {
+                    host.keep(name, persist.state(), persist.token(), token -> {
+                        register.persisted(token);
+                        act(now);
+                    });
+                } else if (effect instanceof Effect.Begun begun) {
+                    Log.info("experiment-epoch", "name=" + name + " epoch=" + begun.place().epoch().number() + " lost=" + begun.lost());
+                } else if (effect instanceof Effect.Decided) {
+                    read(true);
+                }
+            }
+        }
+    }
+
+    /** What the register holds is what all hold. */
+    private void read(boolean say) {
+        byte[] value = register.value();
+        if (value.length == 0) {
+            state = null;
+            teller = null;
+            return;
+        }
+        try {
+            State before = state;
+            State now = State.of(value);
+            if (!stopper.knows(now)) {
+                throw new UnreadableException("a state of another definition");
+            }
+            state = now;
+            gathered.headMap(state.window(), true).clear();
+            own.headMap(state.window(), true).clear();
+            while (own.size() > MOST_WINDOWS) {
+                own.pollFirstEntry();
+            }
+            if (teller == null) {
+                teller = new Teller(experiment, peers.indexOf(me), peers.size(), state.first(), windows.number(began), windows.length(), w -> state.share(w));
+            }
+            if (say) {
+                say(before);
+            }
+        } catch (UnreadableException e) {
+            unreadable++;
+            Log.warn("experiment-unreadable", "name=" + name + " " + e.getMessage());
+        }
+    }
+
+    private void say(State before) {
+        if (before == null) {
+            Log.info("experiment-begins", "name=" + name + " window=" + state.window() + " share=" + state.share(state.window() + 1));
+        } else if (before.verdict() != state.verdict()) {
+            Log.info("experiment-verdict", text());
+        } else if (before.share(Long.MAX_VALUE - 1) != state.share(Long.MAX_VALUE - 1)) {
+            Log.info("experiment-step", text());
+        } else {
+            Log.info("experiment-look", text());
+        }
+    }
+
+    Verdict verdict() {
+        return state == null ? Verdict.NONE : state.verdict();
+    }
+
+    /** One line for staff. */
+    String text() {
+        if (state == null) {
+            return "name=" + name + " verdict=NONE window=none votes=" + register.votes();
+        }
+        return "name=" + name + " verdict=" + state.verdict() + " window=" + state.window() + " share=" + state.share(state.window() + 1)
+            + String.format(" effect=%.4f spread=%.4f", state.effect(), state.spread())
+            + " sessions=" + (long) state.sessions(Arm.CONTROL) + "/" + (long) state.sessions(Arm.TREATMENT)
+            + String.format(" crossed=%.4f/%.4f cut=%.4f", state.crossed(Arm.CONTROL), state.crossed(Arm.TREATMENT), state.cut())
+            + " notes=" + state.notes() + " slot=" + register.slot() + " votes=" + register.votes() + " left_out=" + state.leftOut()
+            + " unreadable=" + unreadable;
+    }
+}
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -9,6 +9,7 @@
 import calicochute.discovery.ListListener;
 import calicochute.discovery.ServerList;
 import calicochute.exchange.DecisionQueue;
+import calicochute.fleet.FleetPart;
 import calicochute.metrics.Figures;
 import calicochute.metrics.Log;
 import calicochute.outage.OutageFile;
@@ -38,6 +39,7 @@
     private final Overlay overlay = new Overlay();
     private final ScheduledExecutorService files =
         Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("outage-file", true));
+    private FleetPart fleet = FleetPart.OFF;
     private Outages seen = Outages.NONE;
     /** The module takes itself to be subscribed: it may be told of changes. Otherwise changes would make it think so. */
     private boolean subscribed;
@@ -52,6 +54,11 @@
         this.module = module;
     }
 
+    /** Who else hears of the list; before the start. */
+    void also(FleetPart part) {
+        fleet = part;
+    }
+
     /** True once a list with a server on it has been held. */
     boolean any() {
         return any;
@@ -91,6 +98,7 @@
         subscribed = kind != ListKind.RESTORED;
         // Before the module acts on it: what waits for a connection is looked at once more before its first byte.
         entries.forEach(e -> backend.wanted(e.id(), e.state() == BackendState.READY));
+        fleet.listed(kind, entries);
         module.accept(new BackendList(kind, entries));
         figures.members(overlay.members(), overlay.unwanted());
     }
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -1,15 +1,12 @@
 package calicochute.node;
 
 import calicochute.admin.AdminServer;
-import calicochute.admin.Operations;
 import calicochute.backend.BackendServers;
 import calicochute.backend.DispatchListener;
 import calicochute.connection.Connector;
 import calicochute.decision.Balancer;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.Settings;
-import calicochute.decision.Handover;
-import calicochute.decision.Learnt;
 import calicochute.discovery.Discovery;
 import calicochute.discovery.ServerList;
 import calicochute.exchange.Answer;
@@ -17,6 +14,7 @@
 import calicochute.exchange.Dispatch;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Sessions;
+import calicochute.fleet.FleetPart;
 import calicochute.frontend.Frontend;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
@@ -39,20 +37,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Consumer;
 
 /**
  * One real balancer: turns what the sockets bring into the module's events, and the module's actions into work for
  * the sockets. All but the start and the end happens on the decision thread.
  */
-public final class Node implements Sessions, DispatchListener, Operations, Balancer.Actions {
+public final class Node implements Sessions, DispatchListener, Balancer.Actions {
     /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
     private static final long ANSWER_MARGIN = 15_000;
     /** Later still, and only if the module has not given up by itself, the session is ended for it. */
     private static final long GUARD_MARGIN = 5_000;
-    /** How often clients' connections are looked at while they are sent away. */
-    private static final long LOOK_AGAIN = 100_000;
-    private static final long NOTE_EVERY = 500_000;
     private static final long TAKEN_OVER_NANOS = 100_000_000L;
     private static final long LONGEST_END_NANOS = 10_000_000_000L;
     private final Configuration configuration;
@@ -66,15 +60,15 @@
     private final Frontend frontend;
     private final AdminServer admin;
     private final Lives lives;
-    private final LearntFile learnt;
+    private final Heritage heritage;
+    private final Staff staff;
+    private final FleetPart fleet;
     private final Figures figures = new Figures();
     private final Balancer balancer;
     private final Map<Long, Exchange> open = new HashMap<>();
     private final Map<Long, DecisionQueue.Alarm> deadlines = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>();
     private volatile int unanswered;
-    private volatile Presence presence = Presence.serving();
-    private volatile boolean listening;
 
     public Node(Configuration configuration, Counters counters) throws IOException {
         this(configuration, counters, null, null);
@@ -96,12 +90,17 @@
             configuration.connectionIdle(), configuration.bounds(), this);
         membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership, settings);
-        frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, () -> presence,
+        fleet = FleetStart.of(configuration, queue, () -> succession, this::tell);
+        membership.also(fleet);
+        staff = new Staff(queue, membership, figures, fleet);
+        frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, staff::presence,
             () -> succession);
-        admin = configuration.admin() == null ? null : new AdminServer(this, counters);
+        staff.endsIdle(frontend::endIdle);
+        admin = configuration.admin() == null ? null : new AdminServer(staff, counters);
         lives = new Lives(shared);
         // Where processes follow each other on one socket.
-        learnt = inherited == null || shared == null ? null : new LearntFile(shared);
+        heritage = inherited == null || shared == null ? null
+            : new Heritage(new LearntFile(shared), balancer, queue, counters, membership::files, () -> staff.presence().state() != Presence.State.ENDING);
         settings.classes().forEach(c -> figures.listClass(c.name()));
     }
 
@@ -112,15 +111,15 @@
         // Before the module hears of a server: one that is out by hand must not be sent to, not even at first.
         membership.readOutages();
         queue.post(() -> restore(known));
-        if (learnt != null) {
-            recall();
-            queue.post(this::noteLearnt);
+        if (heritage != null) {
+            heritage.start();
         }
+        fleet.start();
         if (admin != null) {
             Log.info("admin", "address=" + admin.start(configuration.admin()));
         }
         InetSocketAddress address = frontend.start();
-        listening = true;
+        staff.listening();
         return address;
     }
 
@@ -142,6 +141,7 @@
                 + changed.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             discovery.move(changed.discovery());
         });
+        fleet.reload();
     }
 
     /** A file was turned down; nothing changed. */
@@ -161,86 +161,6 @@
         }
     }
 
-    /** Takes over what the process before this one has learnt, if it is fresh. */
-    private void recall() {
-        try {
-            LearntFile.Note note = learnt.read(System.currentTimeMillis());
-            if (note != null) {
-                long age = (System.currentTimeMillis() - note.atMs()) * 1000;
-                Log.info("recalled", "age_ms=" + age / 1000 + " servers=" + note.learnt().servers().size());
-                queue.post(() -> Handover.recall(balancer, note.learnt(), queue.now(), age));
-            }
-        } catch (IOException e) {
-            Log.warn("learnt-not-read", String.valueOf(e.getMessage()));
-        }
-    }
-
-    /** Notes what the module has learnt, for the process after this one; one that leaves leaves that to it. */
-    private void noteLearnt() {
-        if (presence.state() == Presence.State.ENDING) {
-            return;
-        }
-        Learnt now = Handover.of(balancer);
-        counters.mustHold(now.sane(), "what the module has learnt is no number");
-        membership.files(() -> {
-            try {
-                learnt.write(now, System.currentTimeMillis());
-            } catch (IOException e) {
-                Log.warn("learnt-not-written", String.valueOf(e.getMessage()));
-            }
-        });
-        queue.after(NOTE_EVERY, this::noteLearnt);
-    }
-
-    // ---- What operators ask for
-
-    @Override
-    public boolean serves() {
-        return listening && membership.any();
-    }
-
-    @Override
-    public String figures() {
-        return figures.text();
-    }
-
-    @Override
-    public void takeOut(String server, Consumer<Result> done) {
-        membership.change(server, o -> o.with(server, System.currentTimeMillis()), done);
-    }
-
-    @Override
-    public void callBack(String server, Consumer<Result> done) {
-        membership.change(server, o -> o.without(server), done);
-    }
-
-    @Override
-    public void quiesce(Consumer<Result> done) {
-        queue.post(() -> {
-            presence = presence.quiesce(queue.now());
-            endIdle();
-            done.accept(Result.DONE);
-        });
-    }
-
-    @Override
-    public void resume(Consumer<Result> done) {
-        queue.post(() -> {
-            presence = presence.resume();
-            done.accept(Result.DONE);
-        });
-    }
-
-    /** Ends clients' idle connections for as long as the presence says so. */
-    private void endIdle() {
-        if (presence.lastAnswers()) {
-            if (presence.endsIdle(queue.now())) {
-                frontend.endIdle();
-            }
-            queue.after(LOOK_AGAIN, this::endIdle);
-        }
-    }
-
     // ---- Sessions
 
     @Override
@@ -277,11 +197,11 @@
             counters.count(Counter.SESSIONS_IN_PIECES);
         }
         tell(new Balancer.Arrival(exchange.id, exchange.classIndex, exchange.tenantIndex, null, Math.max(0, left),
-            exchange.retry));
+            exchange.retry, fleet.begun(exchange)));
     }
 
     private void guardDeadline(Exchange exchange) {
-        long due = Math.min(exchange.deadline(), presence.answersBy(this::longestDeadline));
+        long due = Math.min(exchange.deadline(), staff.presence().answersBy(this::longestDeadline));
         deadlines.put(exchange.id, queue.after(Math.max(ANSWER_MARGIN, due - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
     }
 
@@ -322,6 +242,7 @@
         boolean cut = exchange.latest() != null && !exchange.latest().out() && !exchange.latest().ok();
         counters.count(whole ? Counter.SESSIONS_SERVED : cut ? Counter.SESSIONS_FAILED : Counter.SESSIONS_CLIENT_GONE);
         ended(exchange, whole ? Figures.End.COMPLETED : cut ? Figures.End.FAILED : Figures.End.GONE);
+        fleet.answered(exchange, whole, cut);
         if (!whole && exchange.latest() != null && exchange.latest().out()) {
             backend.cancel(exchange.latest());
         }
@@ -333,6 +254,7 @@
         if (!exchange.closed()) {
             counters.count(Counter.SESSIONS_CLIENT_GONE);
             ended(exchange, Figures.End.GONE);
+            fleet.answered(exchange, false, false);
             exchange.abandon();
             tell(new Balancer.ClientGone(exchange.id));
             retire(exchange);
@@ -361,6 +283,7 @@
                 : answer instanceof Answer.Denied ? Counter.SESSIONS_DENIED : Counter.SESSIONS_FAILED);
             ended(exchange, answer instanceof Answer.Served ? Figures.End.COMPLETED
                 : answer instanceof Answer.Denied ? Figures.End.REJECTED : Figures.End.FAILED);
+            fleet.answered(exchange, answer instanceof Answer.Served, !(answer instanceof Answer.Served));
             dropDeadline(exchange);
             retire(exchange);
         }
@@ -375,6 +298,7 @@
         if (exchange.closed() && !exchange.anyOut() && !exchange.passing() && open.remove(exchange.id) != null) {
             clientIds.remove(exchange.clientId);
             dropDeadline(exchange);
+            fleet.retired(exchange);
             unanswered = open.size();
         }
     }
@@ -387,6 +311,7 @@
         boolean first = dispatch.end(outcome);
         counters.mustHold(first, "a dispatch ended twice");
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
+        fleet.dispatched(dispatch, outcome, elapsed(dispatch));
         if (answer != null) {
             answer(exchange, answer);
         }
@@ -514,8 +439,7 @@
     public void drain() throws InterruptedException {
         CountDownLatch begun = new CountDownLatch(1);
         queue.post(() -> {
-            presence = presence.end(queue.now(), lives.other());
-            endIdle();
+            staff.end(lives.other());
             open.values().stream().filter(e -> deadlines.containsKey(e.id)).forEach(e -> {
                 dropDeadline(e);
                 guardDeadline(e);
@@ -523,8 +447,8 @@
             begun.countDown();
         });
         begun.await();
-        Log.info("draining", "unanswered=" + unanswered + " accompanied=" + presence.accompanied());
-        while (presence.accepts(queue.now())) {
+        Log.info("draining", "unanswered=" + unanswered + " accompanied=" + staff.presence().accompanied());
+        while (staff.presence().accepts(queue.now())) {
             Thread.sleep(10);
         }
         frontend.stopAccepting();
@@ -535,6 +459,7 @@
             Thread.sleep(10);
         }
         frontend.close();
+        fleet.stop();
         Log.info("drained", "unanswered=" + unanswered);
     }
 }
--- a/experiment/src/main/java/calicochute/experiment/State.java
+++ b/experiment/src/main/java/calicochute/experiment/State.java
@@ -89,6 +89,16 @@
         return verdict;
     }
 
+    /** The first window that counts. */
+    public long first() {
+        return first;
+    }
+
+    /** True once nothing more is to be sealed: there is a verdict, and no steps whose guards have to be watched. */
+    public boolean over(Experiment e) {
+        return verdict != Verdict.NONE && (verdict != Verdict.TREATMENT || e.after().steps().isEmpty() || notes.contains(Note.TURNED_BACK));
+    }
+
     /** The window at which the verdict fell; -1: none yet. */
     public long decided() {
         return decided;
--- a/experiment/src/main/java/calicochute/experiment/Stopper.java
+++ b/experiment/src/main/java/calicochute/experiment/Stopper.java
@@ -36,7 +36,7 @@
     private final double least;
     private final double logForArm;
     private final double logForGuard;
-    final int definition;
+    private final int definition;
 
     /**
      * @param windowLength microseconds
@@ -67,6 +67,11 @@
         return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
     }
 
+    /** A hash of all that evidence rests on. */
+    public int definition() {
+        return definition;
+    }
+
     /** @param first the first window that counts */
     public State begin(long first) {
         State s = new State(definition, first, lanes.size(), e.guards().size());
--- a/experiment/src/main/java/calicochute/experiment/Teller.java
+++ b/experiment/src/main/java/calicochute/experiment/Teller.java
@@ -68,10 +68,11 @@
     /**
      * @param me this balancer's place among the configured peers, in order of their names
      * @param first the first window that counts
+     * @param from the first that this process tells: one that has just begun saw nothing of those before
      * @param length of a window, microseconds
      * @param share of a window, {@link State#share(long)} of the newest sealed state
      */
-    public Teller(Experiment e, int me, int peers, long first, long length, LongToDoubleFunction share) {
+    public Teller(Experiment e, int me, int peers, long first, long from, long length, LongToDoubleFunction share) {
         this.e = e;
         this.me = me;
         this.peers = peers;
@@ -80,7 +81,7 @@
         windows = Math.max(1, e.longest().toMillis() * 1000 / length);
         this.share = share;
         lanes = e.lanesInOrder();
-        nextToClose = first;
+        nextToClose = Math.max(first, from);
     }
 
     public Experiment experiment() {
--- a/experiment/src/test/java/calicochute/experiment/HardCasesTest.java
+++ b/experiment/src/test/java/calicochute/experiment/HardCasesTest.java
@@ -102,7 +102,7 @@
         Experiment e = Sim.experiment(0.5, 0.05, 2000);
         Stopper stopper = new Stopper(e, Sim.LENGTH, 5);
         State state = stopper.begin(0);
-        Teller teller = new Teller(e, 0, 1, 0, Sim.LENGTH, window -> 0.5);
+        Teller teller = new Teller(e, 0, 1, 0, 0, Sim.LENGTH, window -> 0.5);
         SplittableRandom random = new SplittableRandom(5);
         double[][] sums = new double[2][2];
         for (long window = 0; window < 60 && state.verdict() == Verdict.NONE; window++) {
--- a/experiment/src/test/java/calicochute/experiment/TellerTest.java
+++ b/experiment/src/test/java/calicochute/experiment/TellerTest.java
@@ -21,7 +21,7 @@
     private Teller teller(Unit unit, double most, int me) {
         Experiment e = new Experiment("trial", "", unit, null, null, 0.5, Set.of("order-copy"), Set.of(), new Measure(most, 0.95), 0.02, 0.05,
             List.of(), Duration.ofMinutes(2), null);
-        return new Teller(e, me, 3, 0, 2 * S, window -> share);
+        return new Teller(e, me, 3, 0, 0, 2 * S, window -> share);
     }
 
     private static Sums all(Counts counts) {
