Balancer: the log is written by SLF4J's slf4j-simple, its flood guard a class of its own

Cause: the log was a writer of our own, with the guard against floods inside it and never tested.

Change: metrics.Log stays the facade (info, warn); lines go through SLF4J to slf4j-simple, on standard output alone, in the same form: TIME LEVEL event details, times in UTC to the millisecond. metrics.FloodGuard holds the guard's state with time passed in: ten lines a second of one event, the next line tells how many were left out, at most 64 events of their own.

--- a/balancer/src/main/java/calicochute/cli/Main.java
+++ b/balancer/src/main/java/calicochute/cli/Main.java
@@ -1,11 +1,15 @@
 package calicochute.cli;
 
+import java.util.TimeZone;
+
 /** Command line entry of the balancer: its sub-commands. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
+        // The log's backend writes times in the default zone: one log of many machines is read by UTC.
+        TimeZone.setDefault(TimeZone.getTimeZone("UTC"));
         int status = new CommandLine("calicochute")
             .command("serve", new ServeCommand())
             .command("wirehost", new WireHostCommand())
--- a/balancer/src/main/java/calicochute/metrics/Log.java
+++ b/balancer/src/main/java/calicochute/metrics/Log.java
@@ -1,50 +1,44 @@
 package calicochute.metrics;
 
-import java.time.Instant;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** The log on standard output: time, level, the event's name, details. The on-call page lists the events. */
+/**
+ * The log on standard output: time, level, the event's name, details. The on-call page lists the events. Lines are written by
+ * SLF4J's backend, as {@code simplelogger.properties} says.
+ */
 public final class Log {
-    /** Guards against floods: writing a line costs more than refusing the request that it tells of. */
-    private static final int LINES_A_SECOND = 10;
-    private static final Map<String, Rate> RATES = new HashMap<>();
-
-    private static final class Rate {
-        long second;
-        int lines;
-        long skipped;
-    }
+    private static final Logger LOGGER = LoggerFactory.getLogger("calicochute");
+    private static final FloodGuard GUARD = new FloodGuard();
 
     private Log() {
     }
 
     public static void info(String event, String details) {
-        write("INFO", event, details);
+        long leftOut = take(event);
+        if (leftOut != FloodGuard.LEAVE_OUT) {
+            LOGGER.info(line(event, details, leftOut));
+        }
     }
 
     public static void warn(String event, String details) {
-        write("WARN", event, details);
+        long leftOut = take(event);
+        if (leftOut != FloodGuard.LEAVE_OUT) {
+            LOGGER.warn(line(event, details, leftOut));
+        }
     }
 
-    private static void write(String level, String event, String details) {
-        Instant now = Instant.now();
-        String skipped = "";
-        synchronized (RATES) {
-            Rate rate = RATES.computeIfAbsent(event, e -> new Rate());
-            if (rate.second != now.getEpochSecond()) {
-                rate.second = now.getEpochSecond();
-                rate.lines = 0;
-            }
-            if (++rate.lines > LINES_A_SECOND) {
-                rate.skipped++;
-                return;
-            }
-            if (rate.skipped > 0) {
-                skipped = " (" + rate.skipped + " more of these before)";
-                rate.skipped = 0;
-            }
+    private static long take(String event) {
+        long nowMicros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+        synchronized (GUARD) {
+            return GUARD.take(event, nowMicros);
         }
-        System.out.println(now + " " + level + " " + event + " " + details.replace('\n', ' ') + skipped);
+    }
+
+    /** Details may hold what clients sent: a line break in them would begin a line that is no event. */
+    private static String line(String event, String details, long leftOut) {
+        String line = event + " " + details.replace('\n', ' ');
+        return leftOut == 0 ? line : line + " (" + leftOut + " more of these before)";
     }
 }
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -359,6 +359,18 @@
         }
     }
 
+    /** Logs of many machines are read together. */
+    @Test
+    public void theLogIsInUtcWhateverTheMachinesZone() throws Exception {
+        Program away = new Program("export TZ=Asia/Tokyo; ", 1024, discovery, server);
+        try {
+            String serving = away.log().lines().filter(l -> l.contains(" INFO serving ")).findFirst().orElseThrow();
+            assertTrue(serving, serving.matches("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z INFO serving name=.*"));
+        } finally {
+            away.stop();
+        }
+    }
+
     /** Started under nohup it can't hear SIGHUP: it says so at once, rather than leaving staff with settings that never come. */
     @Test
     public void aStartWithSighupIgnoredIsTold() throws Exception {
