--- a/experiment/src/main/java/calicochute/experiment/seal/Epoch.java
+++ b/experiment/src/main/java/calicochute/experiment/seal/Epoch.java
@@ -8,15 +8,17 @@
  * @param life when that peer's process began (microseconds), so that no two epochs are the same
  */
 public record Epoch(long number, int index, long life) implements Comparable<Epoch> {
-  /** Known to a peer without memory. */
-  public static final Epoch NONE = new Epoch(0, 0, 0);
+    /** Known to a peer without memory. */
+    public static final Epoch NONE = new Epoch(0, 0, 0);
 
-  static final int BYTES = 18;
+    static final int BYTES = 18;
 
-  @Override
-  public int compareTo(Epoch other) {
-    int by = Long.compare(number, other.number);
-    if (by == 0) by = Integer.compare(index, other.index);
-    return by != 0 ? by : Long.compare(life, other.life);
-  }
+    @Override
+    public int compareTo(Epoch other) {
+        int by = Long.compare(number, other.number);
+        if (by == 0) {
+            by = Integer.compare(index, other.index);
+        }
+        return by != 0 ? by : Long.compare(life, other.life);
+    }
 }
