--- a/bandit/src/main/java/calicochute/bandit/Bandit.java
+++ b/bandit/src/main/java/calicochute/bandit/Bandit.java
@@ -31,6 +31,8 @@
     private long newest = Long.MIN_VALUE;
     private long drawn = Long.MIN_VALUE;
     private double warmRate;
+    /** Times the usual slot between two tries. */
+    private double longer = 1;
 
     public Bandit(Setting setting, String me, long seed) {
         this.setting = setting;
@@ -112,6 +114,9 @@
         double windows = sights.values().stream().flatMap(s -> s.keySet().stream()).distinct()
             .mapToDouble(w -> Math.exp(-(double) Math.max(0, now - (w + 1) * setting.window()) / setting.age())).sum();
         warmRate = windows == 0 ? 0 : all / windows / (setting.window() / 1e6);
+        double fleet = windows == 0 ? 0 : known.values().stream().mapToDouble(k -> k.dispatches).sum() / windows / (setting.window() / 1e6);
+        long tried = known.values().stream().filter(k -> k.sick || k.samples < 1).count();
+        longer = tried * 1e6 / (setting.tryEvery() * Math.max(1e-9, fleet * setting.tryPart()));
         for (Listed l : warm) {
             Known k = known.get(l.id());
             k.correct(newest, Math.exp(k.mean) / speeds, k.dispatches / all);
@@ -138,7 +143,7 @@
 
     private Advice advice(long now, Listed l, Known k, double typical) {
         if (k.sick) {
-            boolean mine = duty.mine(l.id(), now, k.hopeful ? setting.eager() : 1);
+            boolean mine = duty.mine(l.id(), now, longer, k.hopeful ? setting.eager() : 1);
             return new Advice(l.id(), l.startedAt(), SICK_SPEED, setting.most(), true, mine);
         }
         double below = k.mean - level(l.id());
@@ -149,7 +154,7 @@
         double slow = Math.exp(k.mean + draw * k.width) / typical;
         double speed = ((1 - trouble) * even + trouble * slow) * k.success;
         boolean silent = k.samples < 1;
-        return new Advice(l.id(), l.startedAt(), Math.max(0, Math.min(3, speed)), k.worth(), false, silent && duty.mine(l.id(), now, 1));
+        return new Advice(l.id(), l.startedAt(), Math.max(0, Math.min(3, speed)), k.worth(), false, silent && duty.mine(l.id(), now, longer, 1));
     }
 
     private void draw(long window) {
--- a/bandit/src/main/java/calicochute/bandit/Duty.java
+++ b/bandit/src/main/java/calicochute/bandit/Duty.java
@@ -16,7 +16,7 @@
     private Set<String> live = Set.of();
     private final Map<String, Turn> turns = new HashMap<>();
 
-    private record Turn(long slot, int many, boolean mine) { }
+    private record Turn(long slot, long length, boolean mine) { }
 
     Duty(String me, long every) {
         this.me = me;
@@ -34,14 +34,19 @@
         return Math.max(1, live.size());
     }
 
-    /** @param faster how many owners a slot's time is shared by, one after the other */
-    boolean mine(String server, long now, int faster) {
-        long length = Math.max(1, every / faster);
+    /**
+     * Balancers whose rows differ may think of other lengths of a slot: they are powers of two, so that some tries are double and no more.
+     *
+     * @param longer times the usual slot, 1 to 8
+     * @param faster owners that the slot is shared by, one after the other
+     */
+    boolean mine(String server, long now, double longer, int faster) {
+        long length = Math.max(1, (every << (int) Math.ceil(Math.log(Math.max(1, Math.min(8, longer))) / Math.log(2))) / faster);
         long slot = Math.floorDiv(now, length);
         Turn turn = turns.get(server);
-        if (turn == null || turn.slot != slot || turn.many != faster) {
-            List<String> owner = Owners.of(server + "/try/" + slot, live, 1);
-            turn = new Turn(slot, faster, owner.isEmpty() || owner.get(0).equals(me));
+        if (turn == null || turn.slot != slot || turn.length != length) {
+            List<String> owner = Owners.of(server + "/try/" + length + "/" + slot, live, 1);
+            turn = new Turn(slot, length, owner.isEmpty() || owner.get(0).equals(me));
             if (turns.size() > 4096) {
                 turns.clear();
             }
--- a/bandit/src/main/java/calicochute/bandit/Known.java
+++ b/bandit/src/main/java/calicochute/bandit/Known.java
@@ -23,6 +23,8 @@
     private double apart;
     boolean sick;
     boolean hopeful;
+    /** Was sick, and is no longer: what is known of its kind stands in until there are samples. */
+    private boolean returning;
     private int relapses;
     /** Rows up to this window are of before the last change. */
     private long since = Long.MIN_VALUE;
@@ -32,6 +34,7 @@
     // The posterior of the log speed, and the success rate.
     double mean;
     double width;
+    private double worth;
     double success = 1;
 
     Known(Setting setting, long startedAt, Known before) {
@@ -68,21 +71,19 @@
         double prior = Double.isNaN(before) ? kind : 0.75 * kind + 0.25 * before;
         double off = (raw - prior) / (2 * Math.sqrt(setting.noise() / (samples + 1) + setting.noise() / setting.alike()));
         double alike = setting.alike() / (1 + (samples == 0 ? 0 : off * off));
-        double own = samples < 1 ? 0 : worth();
+        double own = samples < 1 ? 0 : 1 / (1 / samples + apart / setting.noise());
         mean = (own * raw + alike * prior) / (own + alike);
         width = Math.sqrt(setting.noise() / (own + alike) + apart);
+        worth = Math.min(setting.most(), setting.noise() / (width * width));
         // The prior of a success rate is worth less the further off the rate is, as above.
         double doubt = kindSuccess - (ok + failed == 0 ? kindSuccess : ok / (ok + failed));
         double like = setting.alike() / (1 + 16 * doubt * doubt);
         success = (ok + like * kindSuccess) / (ok + failed + like);
     }
 
-    /** The samples' worth: what the witnesses differ by is the floor of the variance, however many samples there are. */
+    /** The posterior's worth: what the witnesses differ by is the floor of its variance, however many samples there are. */
     double worth() {
-        if (samples < 1) {
-            return Double.isNaN(before) ? 0 : RESTARTED;
-        }
-        return Math.min(setting.most(), 1 / (1 / samples + apart / setting.noise()));
+        return samples >= 1 || returning ? worth : Double.isNaN(before) ? 0 : RESTARTED;
     }
 
     /** From the newest window: sick at once, and back at once after a few tries that went well; after a relapse only after a window of good ones. */
@@ -105,8 +106,11 @@
         boolean fast = newest.answered() >= 1 && below >= WELL;
         hopeful = fast;
         boolean clean = newest.failing() < 0.1 && below >= WELL / 2;
-        if (fast && newest.answered() >= 2 && good >= 2 && (relapses == 0 || clean)) {
+        // Two good tries, also among bad ones of before its return; or one that was no accident, where tries are rare.
+        boolean enough = newest.answered() >= 2 && good >= 2 ? relapses == 0 || clean : relapses == 0 && clean;
+        if (fast && enough) {
             sick = false;
+            returning = true;
             relapses++;
             since = newest.window();
             bias = 0;
@@ -121,6 +125,6 @@
         }
         corrected = window;
         double off = seen <= 0 ? 0.5 : Math.max(-0.5, Math.min(0.5, Math.log(wanted / seen)));
-        bias = Math.max(-1.5, Math.min(1.5, setting.keep() * bias + setting.gain() * off));
+        bias = Math.max(-1.5, Math.min(1.5, setting.keep() * bias + setting.gain() * off * dispatches / (dispatches + setting.alike())));
     }
 }
--- a/bandit/src/test/java/calicochute/bandit/Chooser.java
+++ b/bandit/src/test/java/calicochute/bandit/Chooser.java
@@ -87,14 +87,15 @@
         double own = speed[s] * keep + (1 - keep);
         ArrayDeque<Long> of = out.get(s);
         boolean any = of != null && !of.isEmpty();
-        if (any && latency > 0 && now - of.peek() > 2 * latency) {
-            own = Math.min(own, 2 * latency / (now - of.peek()));
-        }
         if (worth[s] > 0 && (sick[s] || own > 1 / 3.0)) {
             double mine = samples[s] * Math.exp((at[s] - now) / 3e6);
             double k = mine / (mine + worth[s]);
             own = own * k + advised[s] * (1 - k);
         }
+        // What is out speaks of now, rows of two seconds ago.
+        if (any && latency > 0 && now - of.peek() > 2 * latency) {
+            own = Math.min(own, 2 * latency / (now - of.peek()));
+        }
         return Math.max(1e-3, own / (1 + 0.5 * (any ? of.size() : 0)));
     }
 
--- a/bandit/src/test/java/calicochute/bandit/Simulation.java
+++ b/bandit/src/test/java/calicochute/bandit/Simulation.java
@@ -23,8 +23,11 @@
 final class Simulation {
     static final int SERVERS = 60;
     static final double[] KINDS = {0.64, 0.8, 0.95, 1.1};
-    static final long SLOW = 40_000_000, WELL = 80_000_000, OVER = 110_000_000, DEADLINE = 1_500_000, STEP = 100_000;
+    static final long QUIET = 40_000_000, OVER = 112_000_000, DEADLINE = 1_500_000, STEP = 100_000;
     private static final long WINDOW = 2_000_000;
+    /** When a few servers become slow and well again: in each seed at another part of a window. */
+    final long slow;
+    final long well;
     final int balancers;
     final double base;
     final double[] capacity = new double[SERVERS];
@@ -52,6 +55,8 @@
 
     Simulation(String rule, int balancers, long seed) {
         this.balancers = balancers;
+        slow = QUIET + seed * 700_000 % WINDOW;
+        well = 80_000_000 + seed * 500_000 % WINDOW;
         service = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1);
         loss = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2);
         UniformRandomProvider arrivals = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
@@ -96,7 +101,7 @@
             sent[s][(int) (e.at / STEP)]++;
             long took = serve(e.at, s) - e.at;
             if (e.at > 20_000_000) {
-                (e.at < SLOW ? latencies : e.at < WELL ? sickLatencies : new ArrayList<Double>()).add(Math.min(took, DEADLINE) / 1e3);
+                (e.at < slow ? latencies : e.at < well ? sickLatencies : new ArrayList<Double>()).add(Math.min(took, DEADLINE) / 1e3);
             }
             events.add(new Event(e.at + Math.min(took, DEADLINE), number++, e.balancer, s, e.at, took > DEADLINE));
             events.add(new Event(e.at + gap(arrivals, rates[e.balancer]), number++, e.balancer, -1, 0, false));
@@ -110,7 +115,7 @@
     private long serve(long now, int s) {
         int core = free[s][0] <= free[s][1] ? 0 : 1;
         long start = Math.max(now, free[s][core]);
-        double slower = slowed(s) && start >= SLOW && start < WELL ? 5 : 1;
+        double slower = slowed(s) && start >= slow && start < well ? 5 : 1;
         // Gamma of four parts: a coefficient of variation of a half.
         double parts = 0;
         for (int i = 0; i < 4; i++) {
@@ -194,16 +199,16 @@
 
     /** Seconds from the slowdown until the first second in which the slowed get under a quarter of their share. */
     double leaves() {
-        return until(SLOW, WELL, 1_000_000, share -> share < 0.25);
+        return until(slow, well, 1_000_000, share -> share < 0.25);
     }
 
     /** Seconds from the end of it until the first two seconds with nine tenths. */
     double returns() {
-        return until(WELL, OVER, 2_000_000, share -> share >= 0.9);
+        return until(well, OVER, 2_000_000, share -> share >= 0.9);
     }
 
     private double until(long from, long end, long length, java.util.function.DoublePredicate reached) {
-        double usual = share(20_000_000, SLOW);
+        double usual = share(20_000_000, QUIET);
         for (long at = from; at + length <= end; at += STEP) {
             if (reached.test(share(at, at + length) / usual)) {
                 return (at - from) / 1e6;
@@ -214,7 +219,7 @@
 
     /** Dispatches a minute to each slowed server, ten seconds on. */
     double tries() {
-        return sent(Simulation::slowed, SLOW + 10_000_000, WELL) / 30 * 60 / 8;
+        return sent(Simulation::slowed, slow + 10_000_000, well) / 30 * 60 / 8;
     }
 
     static double quantile(Collection<Double> of, double q) {
