--- a/bandit/src/main/java/calicochute/bandit/Bandit.java
+++ b/bandit/src/main/java/calicochute/bandit/Bandit.java
@@ -58,7 +58,7 @@
         Map<String, TreeMap<Long, Sight>> sights = sights(rows);
         known.forEach((server, k) -> k.see(now, sights.getOrDefault(server, new TreeMap<>()).values()));
         judge();
-        sights.forEach((server, of) -> known.get(server).health(of.lastEntry().getValue(), level(server)));
+        sights.forEach((server, of) -> known.get(server).health(of, level(server)));
         load(now, sights);
     }
 
--- a/bandit/src/main/java/calicochute/bandit/Known.java
+++ b/bandit/src/main/java/calicochute/bandit/Known.java
@@ -1,6 +1,7 @@
 package calicochute.bandit;
 
 import java.util.Collection;
+import java.util.NavigableMap;
 
 /** What is known of one start of a server: the posterior, whether it is sick, and the correction of its load. */
 final class Known {
@@ -11,6 +12,9 @@
     static final double BROKEN = -0.9;
     /** Samples that what it was before a restart is worth. */
     private static final double RESTARTED = 2;
+    /** Windows in which good tries add up, and after which being well is no relapse's matter any more. */
+    private static final int LOOK = 3;
+    private static final int LASTING = 15;
     private final Setting setting;
     /** What it was before it started anew, NaN: not known. */
     private final double before;
@@ -27,7 +31,7 @@
     private boolean returning;
     private int relapses;
     /** Rows up to this window are of before the last change. */
-    private long since = Long.MIN_VALUE;
+    private long since = Long.MIN_VALUE / 2;
     private long corrected = Long.MIN_VALUE;
     /** Log of the factor by which its dispatches are to change, beyond what its speed says. */
     double bias;
@@ -86,29 +90,35 @@
         return samples >= 1 || returning ? worth : Double.isNaN(before) ? 0 : RESTARTED;
     }
 
-    /** From the newest window: sick at once, and back at once after a few tries that went well; after a relapse only after a window of good ones. */
-    void health(Sight newest, double kind) {
+    /** From the newest windows: sick at once, and back at once after a few tries that went well; after a relapse only after nothing but good ones. */
+    void health(NavigableMap<Long, Sight> sights, double kind) {
+        Sight newest = sights.lastEntry().getValue();
         if (newest.window() <= since) {
             return;
         }
-        double good = newest.dispatches() - newest.failed();
         double below = newest.log() - kind;
         if (!sick) {
             boolean fails = newest.failed() >= 2 && newest.failing() >= 0.5;
             boolean slow = newest.answered() >= 4 && newest.witnesses() >= 3 && below <= SICK;
             if (fails || slow) {
+                relapses = newest.window() - since > LASTING ? 0 : relapses;
                 sick = true;
                 hopeful = false;
                 since = newest.window();
             }
             return;
         }
-        boolean fast = newest.answered() >= 1 && below >= WELL;
-        hopeful = fast;
-        boolean clean = newest.failing() < 0.1 && below >= WELL / 2;
-        // Two good tries, also among bad ones of before its return; or one that was no accident, where tries are rare.
-        boolean enough = newest.answered() >= 2 && good >= 2 ? relapses == 0 || clean : relapses == 0 && clean;
-        if (fast && enough) {
+        double clean = 0;
+        for (Sight s : sights.tailMap(Math.max(since, newest.window() - LOOK), false).descendingMap().values()) {
+            if (s.bad() > 0 || s.log() - kind < WELL / 2) {
+                break;
+            }
+            clean += s.answered();
+        }
+        hopeful = newest.answered() >= 1 && below >= WELL;
+        // Two good tries, also beside bad ones of before its return; or one and nothing bad, where tries are rare.
+        boolean enough = relapses == 0 ? hopeful && newest.answered() >= 2 || clean >= 1 : clean >= 2;
+        if (enough) {
             sick = false;
             returning = true;
             relapses++;
@@ -120,7 +130,7 @@
     /** Load by speed: at equal load by capacity the dispatches are as the speeds. Once for each window. */
     void correct(long window, double wanted, double seen) {
         // What was sent before its way back says nothing of the share it is given now.
-        if (window <= corrected || since != Long.MIN_VALUE && window <= since + 2) {
+        if (window <= corrected || returning && window <= since + 2) {
             return;
         }
         corrected = window;
--- a/bandit/src/main/java/calicochute/bandit/Sight.java
+++ b/bandit/src/main/java/calicochute/bandit/Sight.java
@@ -4,21 +4,24 @@
 import calicochute.outcomes.Row;
 import calicochute.outcomes.Tally;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /**
  * A server in one window, all classes and arms together; each witness bounded.
  *
  * @param dispatches that say something about the server, clipped
+ * @param bad of them failed, whoever says so
  * @param failed of them, less what one witness alone can have made
  * @param answered how many gave a speed
  * @param log mean of their log speeds, relative to the class's level
  * @param apart variance between witnesses beyond their own noise and beyond what one of them can have made
  * @param witnesses the most of any class
  */
-record Sight(long window, double dispatches, double failed, double answered, double log, double apart, int witnesses) {
+record Sight(long window, double dispatches, double bad, double failed, double answered, double log, double apart, int witnesses) {
 
-    static Sight of(long window, List<Row> rows, java.util.function.ToDoubleFunction<String> level, Setting setting) {
+    static Sight of(long window, List<Row> rows, ToDoubleFunction<String> level, Setting setting) {
         double dispatches = 0;
+        double failures = 0;
         double failed = 0;
         double answered = 0;
         double logs = 0;
@@ -29,13 +32,14 @@
             double all = tally.total() - tally.of(End.WITHDRAWN);
             double bad = all - tally.of(End.IN_AIM) - tally.of(End.LATE);
             dispatches += all;
+            failures += bad;
             failed += all == 0 ? 0 : all * Math.max(0, bad / all - one(row.witnesses())) / Math.max(1e-9, 1 - one(row.witnesses()));
             answered += tally.speeds();
             logs += tally.speeds() * (log(row, setting) - level.applyAsDouble(row.subject().lane()));
             apart += tally.speeds() * apart(row, setting);
             witnesses = Math.max(witnesses, row.witnesses());
         }
-        return new Sight(window, dispatches, failed, answered, answered == 0 ? 0 : logs / answered, answered == 0 ? 0 : apart / answered, witnesses);
+        return new Sight(window, dispatches, failures, failed, answered, answered == 0 ? 0 : logs / answered, answered == 0 ? 0 : apart / answered, witnesses);
     }
 
     /** The greatest part of the clipped dispatches that one of so many witnesses can have (Row): less than that is no evidence of more than one bad path. */
--- a/bandit/src/test/java/calicochute/bandit/Chooser.java
+++ b/bandit/src/test/java/calicochute/bandit/Chooser.java
@@ -15,6 +15,7 @@
     private final double[] speed;
     private final long[] at;
     private final double[] samples;
+    private final double[] last;
     private final Map<Integer, ArrayDeque<Long>> out = new TreeMap<>();
     private final Set<Integer> trying = new HashSet<>();
     private final double[] advised;
@@ -30,6 +31,8 @@
         java.util.Arrays.fill(speed, 1);
         at = new long[servers];
         samples = new double[servers];
+        last = new double[servers];
+        java.util.Arrays.fill(last, 1);
         advised = new double[servers];
         worth = new double[servers];
         sick = new boolean[servers];
@@ -87,7 +90,9 @@
         double own = speed[s] * keep + (1 - keep);
         ArrayDeque<Long> of = out.get(s);
         boolean any = of != null && !of.isEmpty();
-        if (worth[s] > 0 && (sick[s] || own > 1 / 3.0)) {
+        // One's own bad sample of just now: the rows cannot know yet, or the path is one's own.
+        boolean newer = now - at[s] < 5_000_000 && last[s] < advised[s] / 3;
+        if (worth[s] > 0 && (sick[s] || own > 1 / 3.0 && !newer)) {
             double mine = samples[s] * Math.exp((at[s] - now) / 3e6);
             double k = mine / (mine + worth[s]);
             own = own * k + advised[s] * (1 - k);
@@ -116,6 +121,7 @@
         double alpha = Math.min(0.5, Math.max(failed ? 0.25 : 0, 1 - Math.exp((at[s] - now - 1000) / delta)));
         speed[s] += alpha * (sample - speed[s]);
         samples[s] = samples[s] * Math.exp((at[s] - now) / 3e6) + 1;
+        last[s] = sample;
         at[s] = now;
         return failed ? Double.NaN : Math.log(sample);
     }
