--- a/bandit/src/test/java/calicochute/bandit/Chooser.java
+++ b/bandit/src/test/java/calicochute/bandit/Chooser.java
@@ -92,10 +92,11 @@
         boolean any = of != null && !of.isEmpty();
         // One's own bad sample of just now: the rows cannot know yet, or the path is one's own.
         boolean newer = now - at[s] < 5_000_000 && last[s] < advised[s] / 3;
-        if (worth[s] > 0 && (sick[s] || own > 1 / 3.0 && !newer)) {
+        if (worth[s] > 0 && (sick[s] || own > 1 / 3.0)) {
             double mine = samples[s] * Math.exp((at[s] - now) / 3e6);
             double k = mine / (mine + worth[s]);
             own = own * k + advised[s] * (1 - k);
+            own *= newer && !sick[s] ? 0.9 : 1;
         }
         // What is out speaks of now, rows of two seconds ago.
         if (any && latency > 0 && now - of.peek() > 2 * latency) {
