--- a/bandit/src/main/java/calicochute/bandit/Known.java
+++ b/bandit/src/main/java/calicochute/bandit/Known.java
@@ -13,7 +13,7 @@
     /** Samples that what it was before a restart is worth. */
     private static final double RESTARTED = 2;
     /** Windows in which good tries add up, and after which being well is no relapse's matter any more. */
-    private static final int LOOK = 3;
+    private static final int LOOK = 5;
     private static final int LASTING = 15;
     private final Setting setting;
     /** What it was before it started anew, NaN: not known. */
@@ -110,14 +110,14 @@
         }
         double clean = 0;
         for (Sight s : sights.tailMap(Math.max(since, newest.window() - LOOK), false).descendingMap().values()) {
-            if (s.bad() > 0 || s.log() - kind < WELL / 2) {
+            if (s.bad() > 0 || s.log() - kind < WELL) {
                 break;
             }
             clean += s.answered();
         }
         hopeful = newest.answered() >= 1 && below >= WELL;
         // Two good tries, also beside bad ones of before its return; or one and nothing bad, where tries are rare.
-        boolean enough = relapses == 0 ? hopeful && newest.answered() >= 2 || clean >= 1 : clean >= 2;
+        boolean enough = clean >= 2 || relapses == 0 && hopeful && (newest.answered() >= 2 || clean >= 1 && below >= WELL / 2);
         if (enough) {
             sick = false;
             returning = true;
