The drain's hook is set once a balancer listens: SIGTERM right after /ready drains

Seen: with the log's library loaded at the first line, ServeTest.anAnsweredSessionIsLetGo failed twice with an empty log: SIGTERM came after /ready said 200 and before the hook was set, so the process ended with what it had taken. Checked in the code: ServeCommand listened, wrote `serving`, and only then added the hook; the gap was there before the library and only grew with it.

Change: the hook is added between listening and the first line of the log. A start that fails still ends with its own status: the hook comes after Node.start.

--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -10,6 +10,7 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 
 /** Runs one real balancer until it is told to stop. */
@@ -30,9 +31,11 @@
         if (!Hangup.handle(() -> reload(node))) {
             Log.warn("hangup-ignored", "started with SIGHUP ignored (nohup?): new settings can't be taken over until a restart");
         }
-        Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + node.start());
-        // Only now: a start that fails must end with its own status, not with that of a planned stop.
+        InetSocketAddress address = node.start();
+        // Only now: a start that fails must end with its own status, not with that of a planned stop. And before anything else: from here on clients
+        // may come, and a SIGTERM that finds no hook ends the process with what it has taken.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
+        Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + address);
     }
 
     /** The folder that outlives a process and is the balancer's own; none unless the platform names one. */
