Fleet split by what each part holds, Trial's counts and texts apart; no change in effect

Bodies were moved, not rewritten; a field that was written and never read (a session's last server) is gone.

--- /dev/null
+++ b/balancer/src/main/java/calicochute/fleet/Adviser.java
@@ -0,0 +1,70 @@
+package calicochute.fleet;
+
+import calicochute.bandit.Advice;
+import calicochute.bandit.Advices;
+import calicochute.bandit.Bandit;
+import calicochute.bandit.Listed;
+import calicochute.bandit.Setting;
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.Event;
+import calicochute.outcomes.Picture;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Tells the decision module what the fleet knows of the servers. */
+final class Adviser {
+    /** Microseconds from one advice to the next. */
+    private static final long ADVISE = 250_000;
+    private final Bandit bandit;
+    private final Consumer<Event> module;
+    private Set<String> trying = Set.of();
+    private long advisedAt;
+    private long tries;
+    private long sick;
+
+    Adviser(String me, long seed, Consumer<Event> module) {
+        bandit = new Bandit(Setting.USUAL, me, seed);
+        this.module = module;
+    }
+
+    /** What the fleet knows goes to the module; a turn to try a server is told once, when it comes. */
+    void tick(long now, Picture picture, Set<String> live, Collection<Backend> servers) {
+        if (now < advisedAt + ADVISE) {
+            return;
+        }
+        advisedAt = now;
+        List<Listed> listed = servers.stream().map(b -> new Listed(b.id(), b.startedAt(), b.kind(), b.zone(), b.weight(),
+            b.state() == BackendState.READY)).toList();
+        bandit.heard(now, picture, live, listed);
+        Advices advices = bandit.advise(now);
+        Set<String> turns = new HashSet<>();
+        List<Balancer.OfFleet> told = new ArrayList<>();
+        for (Advice a : advices.of()) {
+            boolean turn = a.mayTry() && !trying.contains(a.server());
+            told.add(new Balancer.OfFleet(a.server(), a.startedAt(), a.speed(), a.worth(), a.sick(), turn));
+            if (a.mayTry()) {
+                turns.add(a.server());
+            }
+            tries += turn ? 1 : 0;
+        }
+        trying = turns;
+        sick = advices.of().stream().filter(Advice::sick).count();
+        module.accept(new Balancer.Advised(told, advices.until()));
+    }
+
+    /** Servers said to be sick in the last advice. */
+    long sick() {
+        return sick;
+    }
+
+    /** Turns to try a server that the module was told of, so far. */
+    long tries() {
+        return tries;
+    }
+}
--- /dev/null
+++ b/balancer/src/main/java/calicochute/fleet/Placing.java
@@ -0,0 +1,104 @@
+package calicochute.fleet;
+
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.BackendState;
+import calicochute.decision.Balancer.Event;
+import calicochute.decision.Balancer.ListKind;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.experiment.Arm;
+import calicochute.outcomes.Subject;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The listed servers, and which of them is in which arm. Arms are numbered over all experiments: 1 and 2 are the first one's control and treatment. */
+final class Placing {
+    private final List<Trial> trials;
+    private final Supplier<List<RequestClass>> classes;
+    private final Consumer<List<Subject>> known;
+    private final Consumer<Event> module;
+    private final Map<String, Backend> servers = new HashMap<>();
+    private Map<String, Integer> arms = Map.of();
+
+    /**
+     * @param trials as they are now
+     * @param known hears which subjects rows may name
+     */
+    Placing(List<Trial> trials, Supplier<List<RequestClass>> classes, Consumer<List<Subject>> known, Consumer<Event> module) {
+        this.trials = trials;
+        this.classes = classes;
+        this.known = known;
+        this.module = module;
+    }
+
+    void listed(ListKind kind, List<Backend> entries) {
+        if (kind == ListKind.UNAVAILABLE) {
+            return;
+        }
+        if (kind != ListKind.CHANGES) {
+            servers.clear();
+        }
+        for (Backend b : entries) {
+            if (b.state() == BackendState.GONE) {
+                servers.remove(b.id());
+            } else {
+                servers.put(b.id(), b);
+            }
+        }
+        place();
+    }
+
+    /** Which subjects rows may name, and which server is in which arm. */
+    void place() {
+        Map<String, Integer> placing = new HashMap<>();
+        List<Subject> subjects = new ArrayList<>();
+        for (Backend b : servers.values()) {
+            for (int i = 0; i < trials.size() && !placing.containsKey(b.id()); i++) {
+                Arm arm = trials.get(i).armOf(b);
+                if (arm != null) {
+                    placing.put(b.id(), number(i, arm));
+                }
+            }
+            String arm = armName(placing.getOrDefault(b.id(), 0));
+            for (RequestClass c : classes.get()) {
+                subjects.add(new Subject(b.id(), b.startedAt(), c.name(), ""));
+                if (!arm.isEmpty()) {
+                    subjects.add(new Subject(b.id(), b.startedAt(), c.name(), arm));
+                }
+            }
+        }
+        known.accept(subjects);
+        if (!placing.equals(arms)) {
+            arms = placing;
+            module.accept(new Balancer.Arms(Map.copyOf(arms)));
+        }
+    }
+
+    /** The listed server of this id, or null. */
+    Backend server(String id) {
+        return servers.get(id);
+    }
+
+    Collection<Backend> servers() {
+        return servers.values();
+    }
+
+    /** The arm that a server is in, 0 for none. */
+    int armOf(String server) {
+        return arms.getOrDefault(server, 0);
+    }
+
+    static int number(int trial, Arm arm) {
+        return 1 + 2 * trial + (arm == Arm.TREATMENT ? 1 : 0);
+    }
+
+    /** As subjects name it; empty for none. */
+    String armName(int number) {
+        return number == 0 ? "" : trials.get((number - 1) / 2).name() + (number % 2 == 0 ? "/t" : "/c");
+    }
+}
--- /dev/null
+++ b/balancer/src/main/java/calicochute/fleet/Sessions.java
@@ -0,0 +1,141 @@
+package calicochute.fleet;
+
+import calicochute.decision.Balancer;
+import calicochute.decision.Balancer.Backend;
+import calicochute.decision.Balancer.Outcome;
+import calicochute.decision.Balancer.RequestClass;
+import calicochute.exchange.DecisionQueue;
+import calicochute.exchange.Dispatch;
+import calicochute.exchange.Exchange;
+import calicochute.experiment.Teller.Ticket;
+import calicochute.outcomes.Closed;
+import calicochute.outcomes.End;
+import calicochute.outcomes.Ledger;
+import calicochute.outcomes.Subject;
+import calicochute.outcomes.Windows;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** The sessions under way: in which window and arm each is, and what became of it and of its dispatches. */
+final class Sessions {
+    private final DecisionQueue queue;
+    private final List<Trial> trials;
+    private final Placing placing;
+    private final Supplier<List<RequestClass>> classes;
+    private final Supplier<List<Balancer.Tenant>> tenants;
+    private final Ledger ledger;
+    private final Map<Long, Placed> placed = new HashMap<>();
+
+    /** A session under way: its window, and where it is in an experiment its ticket and arm. */
+    private static final class Placed {
+        final long window;
+        final Trial trial;
+        final Ticket ticket;
+        final int arm;
+        boolean answered;
+        boolean crossed;
+
+        Placed(long window, Trial trial, Ticket ticket, int arm) {
+            this.window = window;
+            this.trial = trial;
+            this.ticket = ticket;
+            this.arm = arm;
+        }
+    }
+
+    /**
+     * @param trials as they are now
+     * @param longest deadline of any class, microseconds
+     */
+    Sessions(DecisionQueue queue, List<Trial> trials, Placing placing, Supplier<List<RequestClass>> classes, Supplier<List<Balancer.Tenant>> tenants,
+             long longest) {
+        this.queue = queue;
+        this.trials = trials;
+        this.placing = placing;
+        this.classes = classes;
+        this.tenants = tenants;
+        ledger = new Ledger(Windows.USUAL, longest);
+    }
+
+    /** The windows that nothing can be added to any more, each once. */
+    List<Closed> close(long now) {
+        return ledger.close(now);
+    }
+
+    /** The arm that the module is to keep it in, 0 for none. */
+    int begun(Exchange exchange) {
+        long now = queue.now();
+        String lane = classes.get().get(exchange.classIndex).name();
+        String tenant = exchange.tenantIndex < 0 ? "" : tenants.get().get(exchange.tenantIndex).name();
+        Trial trial = null;
+        Ticket ticket = null;
+        int arm = 0;
+        for (int i = 0; i < trials.size() && ticket == null; i++) {
+            ticket = trials.get(i).begin(now, now + exchange.patience, call(exchange), lane, tenant, exchange.retry);
+            if (ticket != null) {
+                trial = trials.get(i);
+                arm = Placing.number(i, ticket.arm());
+            }
+        }
+        placed.put(exchange.id, new Placed(ledger.assign(now), trial, ticket, arm));
+        return arm;
+    }
+
+    /** What a client's tries of one call have in common: the key where there is one; its own name of the session otherwise. */
+    private static String call(Exchange exchange) {
+        return exchange.message.fields().stream().filter(f -> f.name().equalsIgnoreCase("Idempotency-Key")).map(f -> f.value()).findFirst()
+            .orElse(exchange.clientId);
+    }
+
+    void dispatched(Dispatch dispatch, Outcome outcome, long elapsed) {
+        Placed p = placed.get(dispatch.exchange.id);
+        Backend server = placing.server(dispatch.server);
+        if (p == null || outcome == Outcome.MOOT) {
+            return;
+        }
+        p.crossed |= p.arm != 0 && placing.armOf(dispatch.server) != p.arm;
+        // One that was replaced since: what is known of the new start is not of that dispatch.
+        if (server != null && server.startedAt() <= dispatch.sentAt) {
+            RequestClass c = classes.get().get(dispatch.exchange.classIndex);
+            double logSpeed = outcome == Outcome.OK ? -Math.log(Math.max(elapsed, 1) / 1e6) : Double.NaN;
+            ledger.count(p.window, new Subject(server.id(), server.startedAt(), c.name(), placing.armName(p.arm)), end(outcome, elapsed, c), logSpeed);
+        }
+    }
+
+    private static End end(Outcome outcome, long elapsed, RequestClass c) {
+        return switch (outcome) {
+            case OK -> elapsed <= c.aim() ? End.IN_AIM : End.LATE;
+            case ERROR -> End.ERROR;
+            case FULL -> End.FULL;
+            case CONNECT_FAILED -> End.UNREACHABLE;
+            case RESET -> End.RESET;
+            case TIMED_OUT -> End.TIMED_OUT;
+            default -> End.WITHDRAWN;
+        };
+    }
+
+    void answered(Exchange exchange, boolean served, boolean failed) {
+        Placed p = placed.get(exchange.id);
+        if (p == null || p.answered) {
+            return;
+        }
+        p.answered = true;
+        if (p.ticket != null) {
+            RequestClass c = classes.get().get(exchange.classIndex);
+            boolean inAim = served && queue.now() - exchange.arrivedAt() <= c.aim();
+            // A dispatch's outcome may come behind the answer: where it went is known at its beginning.
+            String server = exchange.latest() == null ? "" : exchange.latest().server;
+            boolean crossed = p.crossed || !server.isEmpty() && placing.armOf(server) != p.arm;
+            p.trial.over(p.ticket, c.worth(), inAim ? c.worth() : 0, failed, crossed, server);
+        }
+    }
+
+    void retired(Exchange exchange) {
+        Placed p = placed.remove(exchange.id);
+        if (p != null) {
+            ledger.over(p.window);
+        }
+    }
+}
--- a/balancer/src/main/java/calicochute/fleet/Trial.java
+++ b/balancer/src/main/java/calicochute/fleet/Trial.java
@@ -40,7 +40,6 @@
     /** Microseconds past the last deadline of a window: for the counts to arrive, and until those who have not told are left out. */
     private static final long SETTLE = 700_000;
     private static final long GRACE = 2_500_000;
-    private static final long AGAIN = 300_000;
     private static final int MOST_WINDOWS = 64;
 
     /** What a trial needs of its surroundings. */
@@ -67,13 +66,10 @@
     private Teller teller;
     private long proposedFor = Long.MIN_VALUE;
     private int proposedWith;
-    /** This balancer's own of windows not sealed yet: told once more, and anew to whoever comes to seal. */
-    private final TreeMap<Long, byte[]> own = new TreeMap<>();
-    private long toldAt = Long.MAX_VALUE;
+    private final OwnCounts own;
     private final long began;
     private long unreadable;
     private Collection<String> seen = List.of();
-    private List<String> sealers = List.of();
 
     /**
      * @param deadline the longest of any class, microseconds
@@ -89,6 +85,7 @@
         began = start;
         stopper = new Stopper(experiment, windows.length(), LEAD);
         name = experiment.name() + "@" + Integer.toHexString(stopper.definition());
+        own = new OwnCounts(me, (peer, counts) -> host.counts(name, peer, counts));
         register = new Register(experiment.name(), stopper.definition(), peers, me, start, remembers, kept, Timing.USUAL);
         read(false);
     }
@@ -141,11 +138,9 @@
     void tick(long now, Collection<String> live) {
         if (!seen.equals(live)) {
             seen = live;
-            List<String> before = sealers;
-            sealers = Owners.of("experiment " + name, live, SEALERS);
-            sealers.stream().filter(s -> !before.contains(s) && !s.equals(me)).forEach(s -> own.values().forEach(c -> host.counts(name, s, c)));
+            own.sealers(Owners.of("experiment " + name, live, SEALERS));
         }
-        int rank = sealers.indexOf(me);
+        int rank = own.rank();
         register.turn(rank < 0 ? SEALERS : rank);
         register.tick(now);
         if (teller != null) {
@@ -158,27 +153,15 @@
     }
 
     private void tell(long now) {
-        if (now >= toldAt + AGAIN || now < toldAt && toldAt != Long.MAX_VALUE) {
-            // Once more, unchanged: datagrams get lost, and a window told twice is the same window.
-            toldAt = Long.MAX_VALUE;
-            if (!own.isEmpty()) {
-                send(own.lastEntry().getValue());
-            }
-        }
+        own.again(now);
         for (Counts counts : teller.close(now)) {
             if (counts.window() > state.window()) {
                 take(now, me, counts);
-                own.put(counts.window(), counts.bytes());
-                toldAt = now;
-                send(own.lastEntry().getValue());
+                own.tell(now, counts);
             }
         }
     }
 
-    private void send(byte[] counts) {
-        sealers.stream().filter(s -> !s.equals(me)).forEach(s -> host.counts(name, s, counts));
-    }
-
     private void propose(long now, Collection<String> live) {
         Place place = register.place();
         if (state == null) {
@@ -238,15 +221,12 @@
             }
             state = now;
             gathered.headMap(state.window(), true).clear();
-            own.headMap(state.window(), true).clear();
-            while (own.size() > MOST_WINDOWS) {
-                own.pollFirstEntry();
-            }
+            own.sealed(state.window());
             if (teller == null) {
                 teller = new Teller(experiment, peers.indexOf(me), peers.size(), state.first(), windows.number(began), windows.length(), w -> state.share(w));
             }
             if (say) {
-                say(before);
+                TrialText.log(name, before, state, text());
             }
         } catch (UnreadableException e) {
             unreadable++;
@@ -254,32 +234,12 @@
         }
     }
 
-    private void say(State before) {
-        if (before == null) {
-            Log.info("experiment-begins", "name=" + name + " window=" + state.window() + " share=" + state.share(state.window() + 1));
-        } else if (before.verdict() != state.verdict()) {
-            Log.info("experiment-verdict", text());
-        } else if (before.share(Long.MAX_VALUE - 1) != state.share(Long.MAX_VALUE - 1)) {
-            Log.info("experiment-step", text());
-        } else {
-            Log.info("experiment-look", text());
-        }
-    }
-
     Verdict verdict() {
         return state == null ? Verdict.NONE : state.verdict();
     }
 
     /** One line for staff. */
     String text() {
-        if (state == null) {
-            return "name=" + name + " verdict=NONE window=none votes=" + register.votes();
-        }
-        return "name=" + name + " verdict=" + state.verdict() + " window=" + state.window() + " share=" + state.share(state.window() + 1)
-            + String.format(" effect=%.4f spread=%.4f", state.effect(), state.spread())
-            + " sessions=" + (long) state.sessions(Arm.CONTROL) + "/" + (long) state.sessions(Arm.TREATMENT)
-            + String.format(" crossed=%.4f/%.4f cut=%.4f", state.crossed(Arm.CONTROL), state.crossed(Arm.TREATMENT), state.cut())
-            + " notes=" + state.notes() + " slot=" + register.slot() + " votes=" + register.votes() + " left_out=" + state.leftOut()
-            + " unreadable=" + unreadable;
+        return TrialText.line(name, state, register, unreadable);
     }
 }
