--- a/balancer/src/main/java/calicochute/fleet/Datagrams.java
+++ b/balancer/src/main/java/calicochute/fleet/Datagrams.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -62,6 +63,8 @@
                         heard.accept(datagram);
                     }
                 }
+            } catch (ClosedSelectorException e) {
+                return;
             } catch (IOException e) {
                 // An address that refused an earlier datagram: the next one may be fine.
                 overflowed.incrementAndGet();
