--- a/balancer/src/main/java/calicochute/operator/OperatorFileReader.java
+++ b/balancer/src/main/java/calicochute/operator/OperatorFileReader.java
@@ -13,11 +13,13 @@
 import calicochute.settings.SettingsException;
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonPointer;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
@@ -33,6 +35,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
 
 /** Reads the operator's file (YAML) and holds it against the settings; every complaint names file, line and rule. */
 public final class OperatorFileReader {
@@ -120,10 +123,10 @@
                 throw new OperatorFileException(file.toString(), "is empty");
             }
             return raw;
+        } catch (UnrecognizedPropertyException e) {
+            throw new OperatorFileException(place(e.getPath()), path(e) + e.getOriginalMessage());
         } catch (JsonMappingException e) {
-            String path = e.getPath().stream().map(r -> r.getFieldName() == null ? "[" + r.getIndex() + "]" : "." + r.getFieldName())
-                .collect(Collectors.joining()).replaceFirst("^\\.", "");
-            throw new OperatorFileException(place(e), (path.isEmpty() ? "" : path + ": ") + e.getOriginalMessage());
+            throw new OperatorFileException(place(e), path(e) + e.getOriginalMessage());
         } catch (JacksonException e) {
             throw new OperatorFileException(place(e), "is not YAML: " + e.getOriginalMessage());
         } catch (IOException e) {
@@ -131,7 +134,37 @@
         }
     }
 
+    private static String path(JsonMappingException e) {
+        String path = e.getPath().stream().map(r -> r.getFieldName() == null ? "[" + r.getIndex() + "]" : "." + r.getFieldName())
+            .collect(Collectors.joining()).replaceFirst("^\\.", "");
+        return path.isEmpty() ? "" : path + ": ";
+    }
+
+    /** Where a field is: a record's unknown ones are refused at its end only, and with the place of that. */
+    private String place(List<JsonMappingException.Reference> path) {
+        JsonPointer wanted = JsonPointer.empty();
+        for (JsonMappingException.Reference r : path) {
+            wanted = r.getFieldName() == null ? wanted.appendIndex(r.getIndex()) : wanted.appendProperty(r.getFieldName());
+        }
+        try (JsonParser parser = mapper().createParser(Files.readString(file))) {
+            while (parser.nextToken() != null) {
+                if (parser.getParsingContext().pathAsPointer().equals(wanted)) {
+                    return file + ":" + parser.currentTokenLocation().getLineNr();
+                }
+            }
+        } catch (IOException e) {
+            // It was changed meanwhile: the file alone is named.
+        }
+        return file.toString();
+    }
+
     private String place(JacksonException e) {
+        for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+            // Jackson's own place is behind the last token that could be read.
+            if (cause instanceof MarkedYAMLException yaml && yaml.getProblemMark() != null) {
+                return file + ":" + (yaml.getProblemMark().getLine() + 1);
+            }
+        }
         return file + (e.getLocation() == null ? "" : ":" + e.getLocation().getLineNr());
     }
 
