Sessions keep the arm they began in by name: a reload that removes a trial is no fault

Seen by reading: the arm of a session under way was looked up by its place in the list of trials of now.

Change: a session keeps its trial, ticket and arm's name from its beginning; whether a server is of its arm is asked of its trial.

--- a/balancer/src/main/java/calicochute/fleet/Placing.java
+++ b/balancer/src/main/java/calicochute/fleet/Placing.java
@@ -58,13 +58,14 @@
         Map<String, Integer> placing = new HashMap<>();
         List<Subject> subjects = new ArrayList<>();
         for (Backend b : servers.values()) {
+            String arm = "";
             for (int i = 0; i < trials.size() && !placing.containsKey(b.id()); i++) {
-                Arm arm = trials.get(i).armOf(b);
-                if (arm != null) {
-                    placing.put(b.id(), number(i, arm));
+                Arm in = trials.get(i).armOf(b);
+                if (in != null) {
+                    placing.put(b.id(), number(i, in));
+                    arm = armName(trials.get(i), in);
                 }
             }
-            String arm = armName(placing.getOrDefault(b.id(), 0));
             for (RequestClass c : classes.get()) {
                 subjects.add(new Subject(b.id(), b.startedAt(), c.name(), ""));
                 if (!arm.isEmpty()) {
@@ -88,17 +89,12 @@
         return servers.values();
     }
 
-    /** The arm that a server is in, 0 for none. */
-    int armOf(String server) {
-        return arms.getOrDefault(server, 0);
-    }
-
     static int number(int trial, Arm arm) {
         return 1 + 2 * trial + (arm == Arm.TREATMENT ? 1 : 0);
     }
 
-    /** As subjects name it; empty for none. */
-    String armName(int number) {
-        return number == 0 ? "" : trials.get((number - 1) / 2).name() + (number % 2 == 0 ? "/t" : "/c");
+    /** As subjects name it. */
+    static String armName(Trial trial, Arm arm) {
+        return trial.name() + (arm == Arm.TREATMENT ? "/t" : "/c");
     }
 }
--- a/balancer/src/main/java/calicochute/fleet/Sessions.java
+++ b/balancer/src/main/java/calicochute/fleet/Sessions.java
@@ -28,20 +28,25 @@
     private final Ledger ledger;
     private final Map<Long, Placed> placed = new HashMap<>();
 
-    /** A session under way: its window, and where it is in an experiment its ticket and arm. */
+    /** A session under way: its window, and where it is in an experiment its trial, ticket and the arm's name. A reload does not change them. */
     private static final class Placed {
         final long window;
         final Trial trial;
         final Ticket ticket;
-        final int arm;
+        final String arm;
         boolean answered;
         boolean crossed;
 
-        Placed(long window, Trial trial, Ticket ticket, int arm) {
+        Placed(long window, Trial trial, Ticket ticket) {
             this.window = window;
             this.trial = trial;
             this.ticket = ticket;
-            this.arm = arm;
+            arm = trial == null ? "" : Placing.armName(trial, ticket.arm());
+        }
+
+        /** Whether a server is not of the arm that the session belongs in. */
+        boolean strange(Backend server) {
+            return trial != null && (server == null || trial.armOf(server) != ticket.arm());
         }
     }
 
@@ -79,7 +84,7 @@
                 arm = Placing.number(i, ticket.arm());
             }
         }
-        placed.put(exchange.id, new Placed(ledger.assign(now), trial, ticket, arm));
+        placed.put(exchange.id, new Placed(ledger.assign(now), trial, ticket));
         return arm;
     }
 
@@ -95,12 +100,12 @@
         if (p == null || outcome == Outcome.MOOT) {
             return;
         }
-        p.crossed |= p.arm != 0 && placing.armOf(dispatch.server) != p.arm;
+        p.crossed |= p.strange(server);
         // One that was replaced since: what is known of the new start is not of that dispatch.
         if (server != null && server.startedAt() <= dispatch.sentAt) {
             RequestClass c = classes.get().get(dispatch.exchange.classIndex);
             double logSpeed = outcome == Outcome.OK ? -Math.log(Math.max(elapsed, 1) / 1e6) : Double.NaN;
-            ledger.count(p.window, new Subject(server.id(), server.startedAt(), c.name(), placing.armName(p.arm)), end(outcome, elapsed, c), logSpeed);
+            ledger.count(p.window, new Subject(server.id(), server.startedAt(), c.name(), p.arm), end(outcome, elapsed, c), logSpeed);
         }
     }
 
@@ -127,7 +132,7 @@
             boolean inAim = served && queue.now() - exchange.arrivedAt() <= c.aim();
             // A dispatch's outcome may come behind the answer: where it went is known at its beginning.
             String server = exchange.latest() == null ? "" : exchange.latest().server;
-            boolean crossed = p.crossed || !server.isEmpty() && placing.armOf(server) != p.arm;
+            boolean crossed = p.crossed || !server.isEmpty() && p.strange(placing.server(server));
             p.trial.over(p.ticket, c.worth(), inAim ? c.worth() : 0, failed, crossed, server);
         }
     }
--- a/lab/src/test/java/calicochute/lab/process/FleetTest.java
+++ b/lab/src/test/java/calicochute/lab/process/FleetTest.java
@@ -7,6 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.Test;
 
 /** Several processes of the program, with faults put between them. */
@@ -195,6 +198,24 @@
             fleet.signal(0, "HUP");
             await("refused", () -> fleet.log(0).contains("fleet-reload-failed") && fleet.log(0).contains("ERROR_OUT_OF_RANGE"));
             assertTrue(fleet.admin(0, "experiments").contains("release-12"));
+            // Taken out while a session of it is with a server: the session ends as any other (a fault would show in the log at the end).
+            CountDownLatch met = new CountDownLatch(1);
+            CountDownLatch release = new CountDownLatch(1);
+            for (int server = 0; server < 2; server++) {
+                fleet.script(server, e -> {
+                    met.countDown();
+                    SmallFleet.hold(release);
+                    return 200;
+                });
+            }
+            CompletableFuture<Integer> answer = CompletableFuture.supplyAsync(() -> SmallFleet.unchecked(() -> fleet.view(0)));
+            assertTrue(met.await(30, TimeUnit.SECONDS));
+            fleet.writeOperatorFile(0, SHARE);
+            fleet.signal(0, "HUP");
+            await("taken out", () -> fleet.log(0).contains("experiment-ends"));
+            release.countDown();
+            assertTrue(List.of(200, 502, 504).contains(answer.get(30, TimeUnit.SECONDS)));
+            await("none", () -> fleet.admin(0, "experiments").trim().equals("none"));
         }
     }
 
--- a/lab/src/test/java/calicochute/lab/process/SmallFleet.java
+++ b/lab/src/test/java/calicochute/lab/process/SmallFleet.java
@@ -248,6 +248,23 @@
         assertTrue(processes[i].waitFor(30, TimeUnit.SECONDS));
     }
 
+    /** Until let go; at the longest as long as a session may take. */
+    static void hold(CountDownLatch release) {
+        try {
+            release.await(30, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    static <T> T unchecked(Callable<T> call) {
+        try {
+            return call.call();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Waits for a condition, for as long as a slow machine may need. */
     static void await(String what, Callable<Boolean> condition) throws Exception {
         long latest = System.nanoTime() + TimeUnit.SECONDS.toNanos(90);
