BackendServers and Node split: Errand, Spare, Connections, ModuleActions apart

Change: the course of one request (Errand), of a connection opened ahead (Spare) and the bound on open connections (Connections) leave BackendServers; what the module asks for (ModuleActions) leaves Node. No change of behaviour. Measured: BackendServersTest, BadServerTest, SpareTest pass.

--- /dev/null
+++ b/balancer/src/main/java/calicochute/backend/Connections.java
@@ -0,0 +1,106 @@
+package calicochute.backend;
+
+import calicochute.connection.Connection;
+import calicochute.connection.Connector;
+import calicochute.exchange.DecisionQueue;
+import calicochute.metrics.Counter;
+import calicochute.metrics.Counters;
+import calicochute.pool.Pool;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Opens connections to backend servers, as many as there is room for, and hears of their ends. */
+final class Connections {
+    /** Spares leave this part of the room to sessions. */
+    private static final double SPARE_ROOM = 0.5;
+    /** How long no connections are kept for a server that ended one early. */
+    private static final long WARY = 20_000_000;
+    final DecisionQueue queue;
+    final Counters counters;
+    private final Connector connector;
+    private final int room;
+    private final Supplier<Collection<BackendServer>> servers;
+    /** One for each connection that is open or being opened. */
+    private final Set<Object> open = new HashSet<>();
+    private long connectTimeout;
+
+    Connections(Connector connector, DecisionQueue queue, Counters counters, int room, Supplier<Collection<BackendServer>> servers) {
+        this.connector = connector;
+        this.queue = queue;
+        this.counters = counters;
+        this.room = room;
+        this.servers = servers;
+    }
+
+    void retune(long timeout) {
+        connectTimeout = timeout > 0 ? timeout : 1_000_000;
+    }
+
+    long connectTimeout() {
+        return connectTimeout;
+    }
+
+    /** Whether there is room for one more connection, if need be by closing an idle one. */
+    boolean makeRoom() {
+        return open.size() < room || closeIdlest();
+    }
+
+    /** Opens a connection, which counts until it has ended; both callbacks come on the decision thread. */
+    Connection open(BackendServer server, Consumer<Connection> opened, Runnable failed) {
+        Object one = new Object();
+        open.add(one);
+        counters.count(Counter.CONNECTIONS_OPENED);
+        return connector.open(server.address, connectTimeout, c -> queue.post(() -> opened.accept(c)),
+            e -> queue.post(() -> {
+                open.remove(one);
+                failed.run();
+            }), c -> queue.post(() -> {
+                open.remove(one);
+                Pool.Ended ended = server.pool.ended(c, queue.now());
+                if (ended == Pool.Ended.KEPT && !c.spoilt()) {
+                    endedEarly(server);
+                } else if (ended == Pool.Ended.SPARE) {
+                    counters.count(Counter.SPARES_FAILED);
+                }
+            }));
+    }
+
+    /** Opens a connection ahead if the server's pool wants one; nobody waits for it. */
+    void openSpare(BackendServer server) {
+        if (!server.keeps(queue.now()) || open.size() >= room * SPARE_ROOM
+            || !server.pool.claimSpare(queue.now())) {
+            return;
+        }
+        new Spare(this, server).begin();
+    }
+
+    /** Closes the connection that has been idle longest, whichever server it goes to; false if none is. */
+    private boolean closeIdlest() {
+        BackendServer idlest = null;
+        for (BackendServer server : servers.get()) {
+            if (server.pool.free() > 0 && (idlest == null
+                || server.pool.idlestSince() < idlest.pool.idlestSince())) {
+                idlest = server;
+            }
+        }
+        if (idlest != null) {
+            count(idlest.closeIdleSince(idlest.pool.idlestSince()));
+        }
+        return idlest != null;
+    }
+
+    /** Guards against the next call's being written to a connection that its server has ended. */
+    void endedEarly(BackendServer server) {
+        counters.count(Counter.CONNECTIONS_ENDED_EARLY);
+        count(server.beWary(queue.now() + WARY));
+    }
+
+    void count(int closed) {
+        for (int i = 0; i < closed; i++) {
+            counters.count(Counter.CONNECTIONS_CLOSED_IDLE);
+        }
+    }
+}
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -42,9 +42,9 @@
  * One real balancer: turns what the sockets bring into the module's events, and the module's actions into work for
  * the sockets. All but the start and the end happens on the decision thread.
  */
-public final class Node implements Sessions, DispatchListener, Balancer.Actions {
+public final class Node implements Sessions, DispatchListener {
     /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
-    private static final long ANSWER_MARGIN = 15_000;
+    static final long ANSWER_MARGIN = 15_000;
     /** Later still, and only if the module has not given up by itself, the session is ended for it. */
     private static final long GUARD_MARGIN = 5_000;
     private static final long TAKEN_OVER_NANOS = 100_000_000L;
@@ -65,6 +65,7 @@
     private final FleetPart fleet;
     private final Figures figures = new Figures();
     private final Balancer balancer;
+    private final Balancer.Actions actions;
     private final Map<Long, Exchange> open = new HashMap<>();
     private final Map<Long, DecisionQueue.Alarm> deadlines = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>();
@@ -91,6 +92,7 @@
         membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership, settings);
         fleet = FleetStart.of(configuration, queue, () -> succession, this::tell);
+        actions = new ModuleActions(this, open, backend, discovery, queue, counters);
         membership.also(fleet);
         staff = new Staff(queue, membership, figures, fleet);
         frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, staff::presence,
@@ -277,7 +279,7 @@
         retire(exchange);
     }
 
-    private void answer(Exchange exchange, Answer answer) {
+    void answer(Exchange exchange, Answer answer) {
         if (exchange.answer(answer)) {
             counters.count(answer instanceof Answer.Served ? Counter.SESSIONS_SERVED
                 : answer instanceof Answer.Denied ? Counter.SESSIONS_DENIED : Counter.SESSIONS_FAILED);
@@ -348,89 +350,8 @@
         figures.dispatchWritten();
     }
 
-    private void tell(Balancer.Event event) {
-        balancer.on(queue.now(), event, this);
-    }
-
-    // ---- What the module asks for
-
-    @Override
-    public void send(long request, String server, long timeout) {
-        Exchange exchange = open.get(request);
-        if (exchange == null) {
-            counters.mustHold(false, "a dispatch for a session that is over");
-            return;
-        }
-        boolean legal = !exchange.closed() && backend.knows(server) && timeout > 0
-            && exchange.dispatches() < exchange.limits.maxAttempts();
-        counters.mustHold(exchange.limits.secondCopies() || !exchange.anyOut(), "a second copy of a session");
-        Dispatch dispatch = exchange.dispatch(server, queue.now());
-        if (legal) {
-            backend.send(dispatch, Math.min(timeout, exchange.deadline() - ANSWER_MARGIN - queue.now()));
-        } else {
-            queue.post(() -> dispatchEnded(dispatch, Outcome.MOOT, null));
-        }
-    }
-
-    @Override
-    public void refuse(long request, long retryAfter) {
-        Exchange exchange = open.get(request);
-        if (exchange != null) {
-            answer(exchange, new Answer.Denied(Math.min(retryAfter, exchange.limits.maxRetryAfter())));
-        }
-    }
-
-    @Override
-    public void fail(long request) {
-        Exchange exchange = open.get(request);
-        if (exchange != null) {
-            answer(exchange, new Answer.Failed(exchange.deadline() - ANSWER_MARGIN <= queue.now()));
-        }
-    }
-
-    @Override
-    public void cancel(long request, int attempt) {
-        Exchange exchange = open.get(request);
-        Dispatch dispatch = exchange == null ? null : exchange.dispatch(attempt);
-        if (dispatch != null && dispatch.out()) {
-            // Posted: the module hears of it as an event of its own, not in the midst of this one.
-            queue.post(() -> backend.cancel(dispatch));
-        }
-    }
-
-    @Override
-    public void timer(long delay, int purpose, long subject) {
-        queue.after(delay, () -> tell(new Balancer.Timer(purpose, subject)));
-    }
-
-    @Override
-    public void subscribe(boolean on) {
-        discovery.subscribe(on);
-    }
-
-    @Override
-    public void fetchList() {
-        counters.mustHold(false, "whole lists are not asked for: the watch begins with one where it has to");
-    }
-
-    @Override
-    public void probe(String server) {
-        counters.mustHold(false, "load is neither asked for nor read");
-    }
-
-    @Override
-    public void closeIdle(String server) {
-        backend.closeIdle(server);
-    }
-
-    @Override
-    public void tell(int peer, byte[] bytes) {
-        counters.mustHold(false, "messages to peers are not carried");
-    }
-
-    @Override
-    public void log(String text) {
-        Log.info("module", text);
+    void tell(Balancer.Event event) {
+        balancer.on(queue.now(), event, actions);
     }
 
     // ---- The end
