What waits for a connection is checked at its sending: client gone, window, time, restart

Cause: seen by reading, then by tests: an errand looked at its server alone when its connection had come up. Where caps.cancel is false nothing told it that its client had gone, and it was sent on up to connect_timeout later; a keyed repeat was held to its window at the pick only; a server that had started anew while a connection came up got what was meant for the one before it. A body cut short by its client was kept up for good there. Lines: Errand.call, Node.gone, Node.overdue; Node.over and Node.dispatchBegun withdrew what had begun whatever caps.cancel said. Of a body of known length the last byte may have left before its end is told to Call; a break just then was CONNECT_FAILED (proves not run): Call.wrote. Ruled out: the module (it never sends for a session it knows to be over), a reused connection that ended before a byte (begins again through the same check).

Change: the errand's course is a state machine without I/O (Progress); it is asked when a connection is there: session owed (the I/O thread's word counts at once), server as picked, time and window (10 ms for the writing) left, else MOOT. A session that is over ends what waits at once; what is out only caps.cancel withdraws. An upload that stands still is closed first and told by what was written. An end within the module's own event is told as one of its own.

Measured: ProgressTest runs all orders of up to five of twelve events; BackendServersTest, ClientGoneTest, CallTest. Seen to fail with each check taken out: owed (2 cases and ProgressTest), start (1), notAfter (2 and ProgressTest), time (1), Node.sessionOver (2), Call's length (1). whatHasBegunIsNotWithdrawn is a guard and passed before as well. BadLinkTest, PiecesTest, BadServerTest, SpareTest, ServeTest pass.

--- a/balancer/src/main/java/calicochute/backend/BackendServer.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServer.java
@@ -12,6 +12,8 @@
     boolean gone;
     /** Discovery or an operator wants it out: no call is begun on it. */
     boolean unwanted;
+    /** When it last started, as far as was told; 0 for long ago. */
+    long startedAt;
 
     /** Until then its connections serve one call each. */
     private long waryUntil;
--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -35,6 +35,7 @@
     private static final int MOST_FREE = 16;
     private static final long SPARE_BAN = 20_000_000;
     private static final Pool.Rules POOL = new Pool.Rules(Errand.FRESH, SETTLE, MOST_FREE, SPARE_BAN);
+    static final String TIME_LEFT = "X-Remaining-Ms";
     /** Idle connections are looked at no more often. */
     private static final long SWEEP = 10_000;
     private final DecisionQueue queue;
@@ -81,6 +82,14 @@
         }
     }
 
+    /** A server's newest start: what was picked for an earlier one is not sent any more. */
+    public void started(String server, long at) {
+        BackendServer known = servers.get(server);
+        if (known != null) {
+            known.startedAt = Math.max(known.startedAt, at);
+        }
+    }
+
     /** Forgets a server that is gone; what is out there ends by itself. */
     public void forget(String server) {
         BackendServer known = servers.remove(server);
@@ -103,7 +112,8 @@
     public void send(Dispatch dispatch, long timeout) {
         counters.count(Counter.DISPATCHES_SENT);
         Message message = dispatch.exchange.message;
-        Errand errand = new Errand(connections, window, servers.get(dispatch.server), request(message, timeout), message.body(), new Errand.Course() {
+        Errand errand = new Errand(connections, window, servers.get(dispatch.server), request(message, timeout), dispatch, timeout,
+            new Errand.Course() {
             @Override
             public void written() {
                 listener.dispatchWritten();
@@ -122,14 +132,22 @@
             }
         });
         out.put(dispatch, errand);
-        errand.start(dispatch.sentAt, timeout);
+        errand.start();
     }
 
     /** Stops waiting: closes the connection that the dispatch is out on. */
     public void cancel(Dispatch dispatch) {
         Errand errand = out.get(dispatch);
         if (errand != null) {
-            errand.end(Outcome.CANCELLED, null);
+            errand.cancel();
+        }
+    }
+
+    /** The dispatch's session is over: what has not begun must not begin, whatever the module knows and may withdraw. */
+    public void sessionOver(Dispatch dispatch) {
+        Errand errand = out.get(dispatch);
+        if (errand != null) {
+            errand.sessionOver();
         }
     }
 
@@ -157,7 +175,7 @@
         for (Field field : message.fields()) {
             request.addHeader(field.name(), field.value());
         }
-        request.addHeader("X-Remaining-Ms", Long.toString(Math.max(1, timeout / 1000)));
+        request.addHeader(TIME_LEFT, Long.toString(Math.max(1, timeout / 1000)));
         if (message.body() instanceof Body.Streamed body) {
             request.addHeader(body.length() < 0 ? "Transfer-Encoding" : "Content-Length",
                 body.length() < 0 ? "chunked" : Long.toString(body.length()));
--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -6,6 +6,7 @@
 import calicochute.decision.Balancer.Outcome;
 import calicochute.exchange.Body;
 import calicochute.exchange.DecisionQueue;
+import calicochute.exchange.Dispatch;
 import calicochute.exchange.Pipe;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
@@ -28,151 +29,169 @@
     private final Counters counters;
     private final int window;
     private final BackendServer server;
+    /** The server's start when it was picked. */
+    private final long startedAt;
     private final HttpRequest request;
+    private final Dispatch dispatch;
     private final Body body;
     private final Course course;
+    private final Progress progress;
     /** The answer, once it has begun. */
     private Pipe answer;
     private boolean wrote;
     private Connection connection;
     private DecisionQueue.Alarm timeout;
     private DecisionQueue.Alarm connecting;
-    private boolean called;
     private long calledAt;
-    private boolean ended;
-    private long patience;
+    private final long patience;
+    private boolean starting;
 
-    Errand(Connections connections, int window, BackendServer server, HttpRequest request, Body body, Course course) {
+    /** @param micros its time, which runs from the dispatch: preparing it must not push the time-out past the session's own end */
+    Errand(Connections connections, int window, BackendServer server, HttpRequest request, Dispatch dispatch, long micros, Course course) {
         this.connections = connections;
         this.queue = connections.queue;
         this.counters = connections.counters;
         this.window = window;
         this.server = server;
+        startedAt = server.startedAt;
         this.request = request;
-        this.body = body;
+        this.dispatch = dispatch;
+        body = dispatch.exchange.message.body();
+        patience = micros;
         this.course = course;
+        progress = new Progress(body instanceof Body.Streamed ? dispatch.notAfter : Math.min(dispatch.notAfter, due()));
     }
 
-    /** Its time runs from {@code since}: preparing it must not push the time-out past the session's own end. */
-    void start(long since, long micros) {
-        patience = micros;
+    void start() {
+        starting = true;
         if (body instanceof Body.Streamed) {
             // Its time runs from its last byte: until then only standing still ends it.
             watch();
         } else {
-            await(since);
+            await(due());
         }
         begin();
+        starting = false;
+    }
+
+    private long due() {
+        return dispatch.sentAt + patience;
     }
 
-    private void await(long since) {
-        timeout = queue.after(since + patience - queue.now(),
-            () -> end(called ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null));
+    private void await(long due) {
+        timeout = queue.after(due - queue.now(), () -> end(progress.timedOut(), null));
     }
 
     /** Ends it if a body in pieces has not moved, though this side has something to move or waits for it. */
     private void watch() {
-        if (ended) {
+        if (progress.ended()) {
             return;
         }
         if (answer == null && body instanceof Body.Streamed streamed && !wrote) {
             // Nothing held: it is the client's turn, which the frontend looks after.
-            if (streamed.pipe().held() > 0 && streamed.pipe().stillFor() >= (called ? UPLOAD_STILL : patience)) {
-                end(Outcome.CONNECT_FAILED, null);
+            if (streamed.pipe().held() > 0 && streamed.pipe().stillFor() >= (progress.waiting() ? patience : UPLOAD_STILL)) {
+                if (progress.waiting()) {
+                    end(progress.unconnected(), null);
+                } else {
+                    // The connection's end tells whether the last byte left just now.
+                    connection.close();
+                }
                 return;
             }
         } else if (answer != null && answer.held() == 0 && answer.stillFor() >= ANSWER_STILL) {
             counters.count(Counter.ANSWERS_CUT);
-            end(Outcome.RESET, null);
+            end(progress.cut(Outcome.RESET), null);
             return;
         }
         queue.after(WATCH, this::watch);
     }
 
     private void wrote() {
-        if (!ended && !wrote) {
+        if (!progress.ended() && !wrote) {
             wrote = true;
             if (body instanceof Body.Streamed && answer == null) {
-                await(queue.now());
+                await(queue.now() + patience);
             }
         }
     }
 
     private void began(HttpResponse head, Body.Streamed from) {
-        if (!ended) {
-            if (timeout != null) {
-                timeout.cancel();
-            }
-            answer = from.pipe();
-            wrote = true;
-            course.begun(head, from);
-            if (!(body instanceof Body.Streamed)) {
-                // Otherwise the watch of the request goes on as that of the answer.
-                watch();
-            }
+        if (progress.ended()) {
+            return;
+        }
+        progress.begun();
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        answer = from.pipe();
+        wrote = true;
+        course.begun(head, from);
+        if (!(body instanceof Body.Streamed)) {
+            // Otherwise the watch of the request goes on as that of the answer.
+            watch();
         }
     }
 
     private void begin() {
-        if (ended) {
-            return;
-        }
         Pool.Lent<Connection> lent = server.pool.take(queue.now());
         if (lent != null) {
             connection = lent.connection();
             if (lent.rest() > 0) {
                 counters.count(Counter.CONNECTIONS_WAITED_FOR);
-                queue.after(lent.rest(), this::reuse);
+                queue.after(lent.rest(), () -> connected(true));
                 connections.openSpare(server);
             } else {
-                reuse();
+                connected(true);
             }
             return;
         }
         if (!connections.makeRoom()) {
             // Guards against descriptors running out: nothing was sent, as if the server could not be reached.
-            end(Outcome.CONNECT_FAILED, null);
+            end(progress.unconnected(), null);
             return;
         }
         // A connection that never comes up is never answered by the network: only this alarm ends the wait.
-        connecting = queue.after(connections.connectTimeout(), () -> end(Outcome.CONNECT_FAILED, null));
-        connection = connections.open(server, c -> opened(), () -> end(Outcome.CONNECT_FAILED, null));
+        connecting = queue.after(connections.connectTimeout(), () -> end(progress.unconnected(), null));
+        connection = connections.open(server, c -> opened(), () -> end(progress.unconnected(), null));
     }
 
-    private void reuse() {
-        if (ended) {
-            return;
-        }
-        if (connection.open()) {
-            counters.count(Counter.CONNECTIONS_REUSED);
-            call(true);
-        } else {
-            begin();
+    private void opened() {
+        if (progress.waiting()) {
+            connecting.cancel();
+            queue.after(FRESH, () -> connected(false));
         }
     }
 
-    private void opened() {
-        if (!ended) {
-            connecting.cancel();
-            queue.after(FRESH, () -> {
-                if (!ended && connection.open()) {
-                    call(false);
-                } else {
-                    end(Outcome.CONNECT_FAILED, null);
+    private void connected(boolean reused) {
+        long now = queue.now();
+        boolean open = connection != null && connection.open();
+        switch (progress.connected(now, dispatch.exchange.wantsAnswer(), isIn(), open, !reused)) {
+            case CALL -> call(now, reused);
+            case FIND_CONNECTION -> begin();
+            case END -> {
+                if (progress.outcome() == Outcome.MOOT) {
+                    counters.count(Counter.DISPATCHES_HELD_BACK);
                 }
-            });
+                end(Progress.Step.END, null);
+            }
+            default -> { }
         }
     }
 
-    private void call(boolean reused) {
-        if (server.unwanted || server.gone) {
-            // Guards against a call that waited for its connection while its server was taken out or left the list.
-            counters.count(Counter.DISPATCHES_HELD_BACK);
-            end(Outcome.MOOT, null);
-            return;
+    /** The server is what was picked: not taken out, gone, moved or started anew since. */
+    private boolean isIn() {
+        return !server.unwanted && !server.gone && server.startedAt == startedAt;
+    }
+
+    private void call(long now, boolean reused) {
+        if (reused) {
+            counters.count(Counter.CONNECTIONS_REUSED);
+        }
+        calledAt = now;
+        if (body instanceof Body.Whole) {
+            // The wait for the connection is over, and out of the time that is left.
+            request.setHeader(BackendServers.TIME_LEFT, Long.toString(Math.max(1, (due() - now) / 1000)));
         }
-        called = true;
-        calledAt = queue.now();
         connection.stream(request, body, window, new CallListener() {
             @Override
             public void written() {
@@ -193,17 +212,12 @@
     }
 
     private void replied(Reply reply, boolean reused) {
-        if (ended) {
-            return;
-        }
-        if (reused && !reply.begun() && reply.response() == null && answer == null) {
-            // The server had closed the idle connection before a byte of this was written: nothing was sent.
-            connection.close();
-            called = false;
-            begin();
+        if (progress.ended()) {
             return;
         }
-        if (reused && reply.response() == null && queue.now() < calledAt + AT_ONCE) {
+        // The server had closed the idle connection before a byte of this was written.
+        boolean nothingSent = reused && !reply.begun() && reply.response() == null;
+        if (!nothingSent && reused && reply.response() == null && queue.now() < calledAt + AT_ONCE) {
             // It may have been ended before this call was written.
             connections.endedEarly(server);
         }
@@ -211,14 +225,33 @@
             server.pool.give(connection, queue.now());
             connection = null;
         }
-        end(outcome(reply), reply);
+        Progress.Step step = progress.replied(outcome(reply), nothingSent);
+        if (step == Progress.Step.FIND_CONNECTION) {
+            connection.close();
+            begin();
+        } else {
+            end(step, reply);
+        }
+    }
+
+    /** The module withdraws it. */
+    void cancel() {
+        end(progress.withdrawn(), null);
     }
 
-    void end(Outcome outcome, Reply reply) {
-        if (ended) {
+    /** The session is over: it is never sent if it was not yet, and not kept up if its body can't come to its end any more. */
+    void sessionOver() {
+        boolean waits = progress.waiting();
+        end(progress.sessionOver(body instanceof Body.Streamed streamed && streamed.pipe().broken()), null);
+        if (waits) {
+            counters.count(Counter.DISPATCHES_HELD_BACK);
+        }
+    }
+
+    private void end(Progress.Step step, Reply reply) {
+        if (step != Progress.Step.END) {
             return;
         }
-        ended = true;
         if (timeout != null) {
             timeout.cancel();
         }
@@ -228,7 +261,12 @@
         if (connection != null) {
             connection.close();
         }
-        course.ended(outcome, reply);
+        if (starting) {
+            // The module hears of it as an event of its own, not in the midst of the one that asked for this.
+            queue.post(() -> course.ended(progress.outcome(), reply));
+        } else {
+            course.ended(progress.outcome(), reply);
+        }
     }
 
     private static Outcome outcome(Reply reply) {
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -40,6 +40,8 @@
     private boolean hooked;
     /** The last byte of the body has been handed to HttpCore. */
     private volatile boolean produced;
+    /** The body's bytes, and whether they are known before its end: then the last may leave before its end is told. */
+    private final boolean told;
     private volatile long payload;
     private EndpointDetails endpoint;
     private long sentBefore;
@@ -65,7 +67,8 @@
         this.listener = listener;
         left = body instanceof Body.Whole bytes ? ByteBuffer.wrap(bytes.bytes()) : ByteBuffer.allocate(0);
         produced = body instanceof Body.Whole && !left.hasRemaining();
-        payload = left.remaining();
+        told = !(body instanceof Body.Streamed streamed) || streamed.length() >= 0;
+        payload = body instanceof Body.Streamed streamed ? streamed.length() : left.remaining();
     }
 
     /** Whose bytes are counted, and how many had been sent before this call. */
@@ -212,7 +215,7 @@
 
     /** Some output has been written: tells once if the last byte of this was among it. */
     void wrote() {
-        if (!writtenTold.get() && produced && endpoint.getSentBytesCount() - sentBefore >= headLength() + payload
+        if (!writtenTold.get() && (produced || told) && endpoint.getSentBytesCount() - sentBefore >= headLength() + payload
             && writtenTold.compareAndSet(false, true)) {
             listener.written();
         }
--- a/balancer/src/main/java/calicochute/exchange/Dispatch.java
+++ b/balancer/src/main/java/calicochute/exchange/Dispatch.java
@@ -8,13 +8,16 @@
     public final int number;
     public final String server;
     public final long sentAt;
+    /** It must not be sent from then on: what the rules allow now they may not once a connection has come up. */
+    public final long notAfter;
     private Outcome outcome;
 
-    Dispatch(Exchange exchange, int number, String server, long sentAt) {
+    Dispatch(Exchange exchange, int number, String server, long sentAt, long notAfter) {
         this.exchange = exchange;
         this.number = number;
         this.server = server;
         this.sentAt = sentAt;
+        this.notAfter = notAfter;
     }
 
     /** Notes how it ended; false if that was known already. */
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -27,7 +27,9 @@
     private boolean passing;
     private final Respondent respondent;
     private final List<Dispatch> dispatches = new ArrayList<>(3);
-    private boolean closed;
+    private volatile boolean closed;
+    /** Known before the decision thread comes to it, which may be late. */
+    private volatile boolean clientLeft;
 
     public Exchange(long id, String clientId, Message message, int classIndex, int tenantIndex, Limits limits,
                     boolean retry, long arrivedAt, long patience, Respondent respondent) {
@@ -79,9 +81,9 @@
         passing = under;
     }
 
-    /** Adds the next dispatch; they are numbered from 0. */
-    public Dispatch dispatch(String server, long now) {
-        Dispatch dispatch = new Dispatch(this, dispatches.size(), server, now);
+    /** Adds the next dispatch, which must have left before {@code notAfter}; they are numbered from 0. */
+    public Dispatch dispatch(String server, long now, long notAfter) {
+        Dispatch dispatch = new Dispatch(this, dispatches.size(), server, now, notAfter);
         dispatches.add(dispatch);
         return dispatch;
     }
@@ -105,7 +107,17 @@
     }
 
     public boolean mayHaveRun() {
-        return dispatches.stream().anyMatch(Dispatch::mayHaveRun);
+        return firstThatMayHaveRun() != null;
+    }
+
+    /** Or null. */
+    public Dispatch firstThatMayHaveRun() {
+        return dispatches.stream().filter(Dispatch::mayHaveRun).findFirst().orElse(null);
+    }
+
+    /** Those that have not ended. */
+    public List<Dispatch> out() {
+        return dispatches.stream().filter(Dispatch::out).toList();
     }
 
     /** Gives the final answer, unless the session has had one or its client is gone; tells whether it did. */
@@ -123,6 +135,16 @@
         closed = true;
     }
 
+    /** The client has closed its connection; any thread may say so. */
+    public void clientLeft() {
+        clientLeft = true;
+    }
+
+    /** True as long as there is someone to answer: nothing is begun for it otherwise. Any thread may ask. */
+    public boolean wantsAnswer() {
+        return !closed && !clientLeft;
+    }
+
     /** True once the session has its answer or needs none. */
     public boolean closed() {
         return closed;
--- a/balancer/src/main/java/calicochute/exchange/Pipe.java
+++ b/balancer/src/main/java/calicochute/exchange/Pipe.java
@@ -187,6 +187,11 @@
         return broken && held == 0;
     }
 
+    /** The source has broken off before the body's end. */
+    public synchronized boolean broken() {
+        return broken;
+    }
+
     /** Something was offered to a sink: it can't be handed on anew. */
     public synchronized boolean taken() {
         return taken;
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -97,7 +97,10 @@
     private void tell(ListKind kind, List<Backend> entries) {
         subscribed = kind != ListKind.RESTORED;
         // Before the module acts on it: what waits for a connection is looked at once more before its first byte.
-        entries.forEach(e -> backend.wanted(e.id(), e.state() == BackendState.READY));
+        entries.forEach(e -> {
+            backend.wanted(e.id(), e.state() == BackendState.READY);
+            backend.started(e.id(), e.startedAt());
+        });
         fleet.listed(kind, entries);
         module.accept(new BackendList(kind, entries));
         figures.members(overlay.members(), overlay.unwanted());
--- a/balancer/src/main/java/calicochute/node/ModuleActions.java
+++ b/balancer/src/main/java/calicochute/node/ModuleActions.java
@@ -38,12 +38,14 @@
             counters.mustHold(false, "a dispatch for a session that is over");
             return;
         }
-        boolean legal = !exchange.closed() && backend.knows(server) && timeout > 0
+        long now = queue.now();
+        long notAfter = node.repeatableUntil(exchange);
+        boolean legal = !exchange.closed() && backend.knows(server) && timeout > 0 && now < notAfter
             && exchange.dispatches() < exchange.limits.maxAttempts();
         counters.mustHold(exchange.limits.secondCopies() || !exchange.anyOut(), "a second copy of a session");
-        Dispatch dispatch = exchange.dispatch(server, queue.now());
+        Dispatch dispatch = exchange.dispatch(server, now, notAfter);
         if (legal) {
-            backend.send(dispatch, Math.min(timeout, exchange.deadline() - Node.ANSWER_MARGIN - queue.now()));
+            backend.send(dispatch, Math.min(timeout, exchange.deadline() - Node.ANSWER_MARGIN - now));
         } else {
             queue.post(() -> node.dispatchEnded(dispatch, Outcome.MOOT, null));
         }
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -10,6 +10,7 @@
 import calicochute.discovery.Discovery;
 import calicochute.discovery.ServerList;
 import calicochute.exchange.Answer;
+import calicochute.exchange.Body;
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Dispatch;
 import calicochute.exchange.Exchange;
@@ -47,6 +48,8 @@
     static final long ANSWER_MARGIN = 15_000;
     /** Later still, and only if the module has not given up by itself, the session is ended for it. */
     private static final long GUARD_MARGIN = 5_000;
+    /** A dispatch is written within this time. */
+    private static final long WRITE_MARGIN = 10_000;
     private static final long TAKEN_OVER_NANOS = 100_000_000L;
     private static final long LONGEST_END_NANOS = 10_000_000_000L;
     private final Configuration configuration;
@@ -172,12 +175,20 @@
 
     @Override
     public void clientGone(Exchange exchange) {
+        exchange.clientLeft();
         queue.post(() -> gone(exchange));
     }
 
     private void take(Exchange exchange) {
         counters.count(Counter.SESSIONS_TAKEN);
         figures.taken();
+        if (!exchange.wantsAnswer()) {
+            // Gone before this thread came to it: nothing is begun for it.
+            counters.count(Counter.SESSIONS_CLIENT_GONE);
+            ended(exchange, Figures.End.GONE);
+            exchange.abandon();
+            return;
+        }
         if (unanswered >= exchange.limits.maxOpen()) {
             counters.count(Counter.SESSIONS_OVER_LIMIT);
             answer(exchange, new Answer.Denied(exchange.limits.away()));
@@ -211,6 +222,16 @@
         return succession.classes().stream().mapToLong(Balancer.RequestClass::deadline).max().orElse(0);
     }
 
+    /**
+     * Until when a further dispatch of the session may leave: servers drop a repeat only for a while from the first dispatch that
+     * may have run, and it takes a moment to be written.
+     */
+    long repeatableUntil(Exchange exchange) {
+        Dispatch first = exchange.firstThatMayHaveRun();
+        Balancer.RequestClass kind = succession.classes().get(exchange.classIndex);
+        return first == null || kind.effect() != Balancer.Effect.KEYED ? Long.MAX_VALUE : first.sentAt + kind.window() - WRITE_MARGIN;
+    }
+
     private void dropDeadline(Exchange exchange) {
         DecisionQueue.Alarm alarm = deadlines.remove(exchange.id);
         if (alarm != null) {
@@ -245,8 +266,8 @@
         counters.count(whole ? Counter.SESSIONS_SERVED : cut ? Counter.SESSIONS_FAILED : Counter.SESSIONS_CLIENT_GONE);
         ended(exchange, whole ? Figures.End.COMPLETED : cut ? Figures.End.FAILED : Figures.End.GONE);
         fleet.answered(exchange, whole, cut);
-        if (!whole && exchange.latest() != null && exchange.latest().out()) {
-            backend.cancel(exchange.latest());
+        if (!whole && exchange.limits.cancel()) {
+            exchange.out().forEach(backend::cancel);
         }
         retire(exchange);
     }
@@ -258,7 +279,7 @@
             ended(exchange, Figures.End.GONE);
             fleet.answered(exchange, false, false);
             exchange.abandon();
-            tell(new Balancer.ClientGone(exchange.id));
+            sessionOver(exchange);
             retire(exchange);
         }
     }
@@ -275,10 +296,16 @@
         counters.count(stop ? Counter.SESSIONS_ENDED_BY_STOP : Counter.SESSIONS_ENDED_BY_DEADLINE);
         answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(!stop)
             : new Answer.Denied(exchange.limits.away()));
-        tell(new Balancer.ClientGone(exchange.id));
+        sessionOver(exchange);
         retire(exchange);
     }
 
+    /** What has begun the module withdraws, where the settings let it; what has not must not begin any more in any case. */
+    private void sessionOver(Exchange exchange) {
+        tell(new Balancer.ClientGone(exchange.id));
+        exchange.out().forEach(backend::sessionOver);
+    }
+
     void answer(Exchange exchange, Answer answer) {
         if (exchange.answer(answer)) {
             counters.count(answer instanceof Answer.Served ? Counter.SESSIONS_SERVED
@@ -312,6 +339,10 @@
         Exchange exchange = dispatch.exchange;
         boolean first = dispatch.end(outcome);
         counters.mustHold(first, "a dispatch ended twice");
+        if (!exchange.wantsAnswer() && !exchange.passing()) {
+            // The module must not try again for a client that has gone, even if this thread has not come to that yet.
+            gone(exchange);
+        }
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
         fleet.dispatched(dispatch, outcome, elapsed(dispatch));
         if (answer != null) {
@@ -337,7 +368,11 @@
         exchange.passing(true);
         if (!exchange.answer(answer)) {
             exchange.passing(false);
-            backend.cancel(dispatch);
+            if (exchange.limits.cancel()) {
+                backend.cancel(dispatch);
+            } else {
+                ((Body.Streamed) ((Answer.Served) answer).body()).pipe().abandon();
+            }
             return;
         }
         counters.count(Counter.ANSWERS_IN_PIECES);
--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -59,13 +59,17 @@
         }
     }
 
+    /** Until when a repeat may be sent. */
+    private static final long NOT_AFTER = 2_000_000;
     private final HandQueue queue = new HandQueue();
     private final List<Outcome> outcomes = new ArrayList<>();
 
+    private Exchange exchange;
+
     private Dispatch dispatch() {
-        Exchange exchange = new Exchange(1, "1", new Message("GET", "/", List.of(), new Body.Whole(new byte[0])), 0, -1,
+        exchange = new Exchange(1, "1", new Message("GET", "/", List.of(), new Body.Whole(new byte[0])), 0, -1,
             new Limits(true, false, false, false, false, 3, 10, 1, 500_000, 0), false, queue.now(), 900_000, a -> { });
-        return exchange.dispatch("s", queue.now());
+        return exchange.dispatch("s", queue.now(), NOT_AFTER);
     }
 
     private BackendServers servers(Connector connector, int port) {
@@ -100,12 +104,12 @@
         }
     }
 
-    private void checkHeldBack(Consumer<BackendServers> takeOut) throws IOException, InterruptedException {
+    private void checkHeldBack(long timeout, Consumer<BackendServers> takeOut) throws IOException, InterruptedException {
         try (Connector connector = new Connector();
              ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             connector.start();
             BackendServers servers = servers(connector, listener.getLocalPort());
-            servers.send(dispatch(), 100_000);
+            servers.send(dispatch(), timeout);
             Socket socket = listener.accept();
             queue.posted.poll(30, TimeUnit.SECONDS).run();
             takeOut.accept(servers);
@@ -124,14 +128,20 @@
         }
     }
 
-    /** What waits for its connection is not begun once its server is out, in each of the ways it can be. */
+    /** What waits for its connection is not begun once its server or its session is out, in each of the ways they can be. */
     @ParameterizedTest
-    @ValueSource(strings = {"out by hand or draining", "not on a whole list", "gone", "moved"})
+    @ValueSource(strings = {"out by hand or draining", "not on a whole list", "gone", "moved", "started anew", "client gone",
+        "session answered", "too late to be repeated", "out of time"})
     void aCallThatWaitedIsHeldBack(String how) throws Exception {
-        checkHeldBack(servers -> {
+        checkHeldBack(how.startsWith("too late") ? 10_000_000 : 100_000, servers -> {
             switch (how) {
                 case "not on a whole list" -> servers.keepOnly(Set.of());
                 case "gone" -> servers.forget("s");
+                case "started anew" -> servers.started("s", 1);
+                case "client gone" -> exchange.clientLeft();
+                case "session answered" -> exchange.answer(new Answer.Failed(true));
+                case "too late to be repeated" -> queue.now = NOT_AFTER;
+                case "out of time" -> queue.now += 100_000;
                 case "moved" -> servers.address("s", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
                 default -> servers.wanted("s", false);
             }
--- a/balancer/src/test/java/calicochute/connection/CallTest.java
+++ b/balancer/src/test/java/calicochute/connection/CallTest.java
@@ -1,5 +1,6 @@
 package calicochute.connection;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import calicochute.exchange.Body;
@@ -18,6 +19,8 @@
 public class CallTest {
     /** A connection that never gets a byte out. */
     private static final class Stuck extends EndpointDetails implements DataStreamChannel {
+        long sent;
+
         Stuck() {
             super(null, null, Timeout.DISABLED);
         }
@@ -31,7 +34,7 @@
 
         @Override
         public long getSentBytesCount() {
-            return 0;
+            return sent;
         }
 
         @Override
@@ -65,6 +68,28 @@
         }
     }
 
+    /**
+     * All bytes of a body of known length had been taken and written, but its end was not told yet, as the connection broke. Held
+     * for not written, what may have run was taken for what has not.
+     */
+    @Test
+    public void aCallIsWrittenWithItsLastByteThoughItsEndIsNotToldYet() throws Exception {
+        long head = "POST / HTTP/1.1\r\n\r\n".length();
+        for (long missing : new long[] {1, 0}) {
+            Pipe body = new Pipe();
+            body.put(ByteBuffer.allocate(1000));
+            List<Reply> ends = new ArrayList<>();
+            Call call = new Call(new BasicHttpRequest("POST", "/"), new Body.Streamed(body, 1000), new Call.Limits(1000, 8192),
+                ends::add);
+            Stuck connection = new Stuck();
+            call.on(connection);
+            call.produce(connection);
+            connection.sent = head + 1000 - missing;
+            call.failed(new IOException("reset"));
+            assertEquals(missing == 0, ends.get(0).written());
+        }
+    }
+
     /**
      * The server ended a kept connection just as the first piece of a long body was taken for it: no byte went out, but the
      * piece is gone. Told as not begun, the call was made again on another connection without its first piece.
