Client's end seen behind stray bytes; connections are shut, drained and then closed

Seen, on the program as it was: a client that closes its connection while its answer is owed is not noticed once any byte had come behind its request (an empty line, one letter, a second request), nor in a drain: RequestGuard.parse and ClientConnection.inputReady cleared EventMask.READ, and the JVM takes a socket without interest out of its poll, so neither end nor reset was seen until the answer; its session could be sent on after it had gone. A connection was closed in the step of its shutdown (HttpCore's IOSessionImpl.close), over what was unread: a reset, which takes what is not yet sent. Read and found open as well: a request read between the start of an answer with Connection: close and the connection's end would be sent on. Checked and ruled out: without stray bytes a close, a half-close and a reset are noticed (same test, passed before); on loopback the answer itself outlived the reset, since the FIN had gone ahead; the client's next write met it.

Change: ConnectionEnd, a state machine without I/O (open, deaf, shut, closed), says what is done with what comes; LingeringSession does it for both addresses. Behind the last request the input is read on and dropped, up to 1 MB; an end seen there tells the session. A connection is shut for writing, drained, and closed at the peer's end or after 0.5 s. An answer that says close ends the reading of requests before it begins. Bytes that wait defer the end of an idle connection at any time, not only in a drain. New counter clients_closed_flooding.

--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -1,6 +1,7 @@
 package calicochute.frontend;
 
 import calicochute.framing.UncutLines;
+import calicochute.listening.LingeringSession;
 import calicochute.metrics.Counter;
 import calicochute.settings.Bounds;
 import java.io.IOException;
@@ -67,8 +68,10 @@
         volatile boolean receiving = true;
         /** Something has come on this connection. */
         private volatile boolean heard;
-        /** Nothing more is read: something here was refused, or came before the answer to an earlier request. */
+        /** Nothing more is a request: something here was refused, came before an earlier answer, or that says close. */
         volatile boolean last;
+        /** When the last answer was given, or 0. */
+        private volatile long lastGiven;
         long since = System.nanoTime();
         /** The body under way: when its head had come, its bytes, how long we did not read it, and since when. */
         private long bodySince;
@@ -137,8 +140,10 @@
 
         /** An answer's last byte is on its way. */
         void answered() {
-            if (!receiving) {
-                session.setSocketTimeout(Timeout.ofMilliseconds(last ? LINGER_MS : IDLE_MS));
+            if (last) {
+                ending();
+            } else if (!receiving) {
+                session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
             }
         }
 
@@ -146,9 +151,14 @@
             return (System.nanoTime() - since) / 1_000_000;
         }
 
-        /** Ends the connection after the answer that is due; what the client still sends is left unread. */
+        /** Ends the connection after the answer that is due; what the client still sends is dropped. */
         void refuse() {
             last = true;
+            ending();
+        }
+
+        private void ending() {
+            lastGiven = System.nanoTime();
             session.setSocketTimeout(Timeout.ofMilliseconds(LINGER_MS));
         }
 
@@ -161,7 +171,6 @@
     }
 
     private final State state;
-    private boolean ended;
     private boolean spoilt;
 
     private ClientConnection(State state, Callback<Exception> onFault) {
@@ -199,7 +208,7 @@
     @Override
     public void inputReady(IOSession session, ByteBuffer source) throws IOException {
         if (state.last) {
-            session.clearEvent(EventMask.READ);
+            drop((LingeringSession) session);
             return;
         }
         if (!state.receiving && !state.owesAnswer()) {
@@ -223,6 +232,28 @@
         }
     }
 
+    /**
+     * Reads on for the client's end, which nobody sees on a connection that is not read: a session it leaves behind would be
+     * sent on. What comes is no request and is dropped.
+     */
+    private void drop(LingeringSession session) throws IOException {
+        switch (session.drop(state.owesAnswer())) {
+            case RESET -> {
+                if (session.flooded()) {
+                    state.frontend.counters().count(Counter.CLIENTS_CLOSED_FLOODING);
+                }
+                session.close(CloseMode.IMMEDIATE);
+            }
+            case REST -> session.clearEvent(EventMask.READ);
+            default -> {
+                // Guards against a client that sends on for ever: HttpCore's own time-out starts anew with each byte.
+                if (state.lastGiven != 0 && (System.nanoTime() - state.lastGiven) / 1_000_000 >= LINGER_MS) {
+                    session.close(CloseMode.GRACEFUL);
+                }
+            }
+        }
+    }
+
     /** What can't be read behind a head has no answer to come in: the connection ends, with a count. A client that is gone is none. */
     @Override
     public void exception(IOSession session, Exception cause) {
@@ -236,7 +267,7 @@
 
     @Override
     public void timeout(IOSession session, Timeout timeout) throws IOException {
-        if (state.frontend.endsIdle() && bytesWait()) {
+        if (!state.last && !state.owesAnswer() && bytesWait()) {
             // They are read next, and answered.
             state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
             return;
@@ -293,8 +324,8 @@
 
     @Override
     public void disconnected(IOSession session) {
-        if (!ended) {
-            ended = true;
+        // A connection that is shut holds its descriptor until it is closed, and is counted as long.
+        if (!(session instanceof LingeringSession shut && shut.lingers())) {
             state.frontend.closed(this);
         }
         super.disconnected(session);
--- a/balancer/src/main/java/calicochute/frontend/RequestGuard.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestGuard.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
-import org.apache.hc.core5.reactor.EventMask;
 
 /** Reads the heads of requests on one client's connection, and none that could be read in two ways. */
 final class RequestGuard implements NHttpMessageParser<HttpRequest> {
@@ -50,10 +49,9 @@
     @Override
     public HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
         // Guards against requests by the hundred on one connection: clients have one open at a time, so what comes
-        // before its answer is not read, and the connection ends with that answer.
+        // before its answer is dropped, and the connection ends with that answer.
         if (state.last || buffer.hasData() && state.owesAnswer()) {
             state.last = true;
-            state.session.clearEvent(EventMask.READ);
             return null;
         }
         int before = buffer.length();
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -192,6 +192,8 @@
         }
         if (connection.last || frontend.closing() && !connection.receiving) {
             response.addHeader("Connection", "close");
+            // Before the answer begins: a request that is read behind it would be sent on and end with the connection.
+            connection.last = true;
         }
         long length;
         if (from instanceof Body.Streamed streamed) {
--- a/balancer/src/main/java/calicochute/listening/Listening.java
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -29,6 +30,7 @@
  */
 public final class Listening {
     private static final long PAUSE_MS = 50;
+    private static final int SCRATCH = 4096;
     private static final long LONGEST_STOP_MS = 1000;
     private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
         .setSelectInterval(TimeValue.ofMilliseconds(100)).build();
@@ -47,8 +49,9 @@
         this.own = own;
         this.name = name;
         this.counters = counters;
-        reactor = new DefaultConnectingIOReactor(handlers, REACTOR, new DefaultThreadFactory(name + "-io", true), null,
-            onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
+        ByteBuffer scratch = ByteBuffer.allocate(SCRATCH);
+        reactor = new DefaultConnectingIOReactor(handlers, REACTOR, new DefaultThreadFactory(name + "-io", true),
+            session -> new LingeringSession(session, scratch), onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
         selector = Selector.open();
     }
 
