The module asks for the list again within 3 s, however often that failed

Cause: what discovery has to tell counts as told 6 s after it can be reached, whatever became of the calls before. Seen in the code: Subset.subscribeLater drew pauses from 0 to 16 s (half of ask_every at most, 5 s where that is 10 s), so with a turn in the list service's line the next answer came later than that. Ruled out: other pauses in the module (Choice's timer only subscribes). At fault: `1 << Math.min(known.failedCalls++, 4)`.

Change: at most 1, 2 and then 3 s, from the third failure on drawn from the upper half, so that no more calls are made on average than with pauses of 0 to 4.5 s.

Measured: RulesTest and ShapeTest pass. The new test of RulesTest fails without the change: "pause 3: 4854410".

--- a/decision/src/main/java/calicochute/decision/Subset.java
+++ b/decision/src/main/java/calicochute/decision/Subset.java
@@ -35,11 +35,11 @@
         choose(size());
     }
 
-    /** DANGER: the list service is small and proxies die in crowds: calls are spread out and back off. */
+    /** DANGER: the list service is small and proxies die in crowds: calls are spread, but due within 6 s. */
     private void subscribeLater() {
-        double wait = 1e6 * (1 << Math.min(known.failedCalls++, 4));
-        double spread = Math.min(known.settings.rules().askEvery() / 2.0, wait);
-        known.actions.timer(1 + (long) (known.random.nextDouble() * spread), TIMER_SUBSCRIBE, 0);
+        double most = Math.min(known.settings.rules().askEvery(), 2e6 * Math.min(++known.failedCalls, 3)) / 2;
+        double wait = most * (1 - known.random.nextDouble() / (known.failedCalls > 2 ? 2 : 1));
+        known.actions.timer(1 + (long) wait, TIMER_SUBSCRIBE, 0);
     }
 
     private void entry(Backend b) {
--- a/decision/src/test/java/calicochute/decision/RulesTest.java
+++ b/decision/src/test/java/calicochute/decision/RulesTest.java
@@ -10,7 +10,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import calicochute.decision.Balancer.Backend;
 import calicochute.decision.Balancer.BackendState;
 import calicochute.decision.Balancer.ClientGone;
@@ -190,4 +192,20 @@
         f.pass(f.now + 20 * SECOND);
         assertEquals(3, f.said.stream().filter("subscribe true"::equals).count());
     }
+
+    /** What the list service has to tell counts as told 6 s after it can be reached: no pause takes more than half of that. */
+    @Test
+    void pausesAreSpreadAndShortHoweverOftenTheListServiceFailed() {
+        Set<Long> pauses = new HashSet<>();
+        for (int seed = 0; seed < 20; seed++) {
+            Fixture f = new Fixture(settings(seed, List.of(requestClass(Effect.ONCE, KeyScope.ALL)), Fixture.LIMITS, true, 0, 4));
+            for (int i = 0; i < 20; i++) {
+                f.list(ListKind.UNAVAILABLE);
+                long pause = f.timers.get(f.timers.size() - 1).at() - f.now;
+                assertTrue(pause <= 3 * SECOND + 1 && (i < 3 || pause >= SECOND), "pause " + i + ": " + pause);
+                pauses.add(pause);
+            }
+        }
+        assertTrue(pauses.size() > 390, pauses.size() + " of 400");
+    }
 }
