Calls to discovery follow each other within 4.4 s, and a silent one keeps its turn

Cause: what discovery has to tell counts as told 6 s after it can be reached, whatever became of the calls before, and what a silent watch misses 6 s after it fell silent. Read in the code: a call hung for up to 5 s (WatchClock.OPENING), then the clock paused for up to half of ask_every or 4 s, then the module for up to 5 s (half of its 10 s) on top: 5 + 5 + 5 s after a call that hung just as discovery came back, and two silences in a row took 4.85 + 5 s. After SIGHUP a first call that hung took 0.5 + 5.15 s of the 4. Checked: Discovery.failed told the module and forgot the watch, so each pause waited for the other (Discovery.subscribe, WatchClock.pause). Ruled out: shorter limits alone, since a call needs its turn in a line of about 3 s, and whoever leaves stands at its end again.

Change: WatchClock is the one owner of the times of calls: which begins, when, and which is given up; Discovery does what it says. While nothing answers the next begins within 4.4 s of the last one's beginning, however that ended. A silent call stays while a second goes out on a new connection (two at most, the first answer counts). Opening calls wait 0.3 s, a watch's calls 2.4 to 3.2 s (2.8 to 3.6 before: a seventh more calls at rest) and count as silent 0.7 s later (1.1 s before). Pauses after failures are drawn from 0.1 to 2.5 s, then from 2.2 to 4.4 s; a move begins within 1.2 s (0.5 s before: a hundred at once made a line of 4 s).

SilentWatchTest's discovery held back its answer to a watch that had nothing to hear without end, so that watch fell silent as well in a slow run; it answers at the end of the wait now, as the protocol says, and the same is asserted.

--- a/balancer/src/main/java/calicochute/discovery/Discovery.java
+++ b/balancer/src/main/java/calicochute/discovery/Discovery.java
@@ -11,13 +11,13 @@
 import calicochute.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
 /** Keeps the watch on the list of backend servers; discovery sends all of it where changes would not do. All on the decision thread. */
 public final class Discovery {
     private static final String PATH = "/v1/endpoints";
-    /** Between failed calls at most, where lists are pushed and so no time for asking is given. */
-    private static final long PUSHED_PAUSE = 4_000_000;
     /** Longer lists, in bytes, are read on a thread of their own. */
     private static final int LARGE = 1 << 16;
     private static final int BODY_LIMIT = 1 << 23;
@@ -26,12 +26,16 @@
     private final Counters counters;
     private InetSocketAddress address;
     private final ListListener listener;
-    private Query watch;
     private final WatchClock clock;
+    private final Map<WatchClock.Call, Query> out = new HashMap<>();
+    /** On whose connection the last answer came. */
+    private Query latest;
+    private DecisionQueue.Alarm alarm;
     private long generation;
     private boolean told;
+    private boolean lost;
 
-    /** @param rules where discovery is asked, calls that fail are at most half of its asking time apart */
+    /** @param rules where discovery is asked, pauses after calls that fail are at most half of its asking time */
     public Discovery(Connector connector, DecisionQueue queue, Counters counters, InetSocketAddress address,
                      ListListener listener, Settings rules) {
         this.connector = connector;
@@ -39,7 +43,7 @@
         this.counters = counters;
         this.address = address;
         this.listener = listener;
-        clock = new WatchClock(rules.seed(), rules.subscribes() ? rules.rules().askEvery() / 2 : PUSHED_PAUSE);
+        clock = new WatchClock(rules.seed(), rules.subscribes() ? rules.rules().askEvery() / 2 : WatchClock.LONGEST);
     }
 
     /** Where a watch goes on from. */
@@ -52,22 +56,24 @@
      * the first moment of a process it counts as told.
      */
     public void begin() {
-        if (watch == null) {
-            told = false;
-            open(clock.begun());
+        if (!clock.active()) {
+            clock.begin(queue.now(), WatchClock.BEGIN_WITHIN);
+            look();
         }
     }
 
-    /** Begins the watch, or ends it; one that is under way goes on. */
+    /**
+     * Begins the watch, or ends it; one that is under way goes on. Under way is also one that has failed: the clock owns the
+     * pauses, lest the module's come on top of them.
+     */
     public void subscribe(boolean on) {
-        if (watch != null && !on) {
-            watch.close();
-            watch = null;
-        }
-        if (on && watch == null) {
-            told = false;
-            open(clock.pause(queue.now()));
+        if (!on) {
+            clock.end();
+            closeAll();
+        } else if (!clock.active()) {
+            clock.begin(queue.now(), 0);
         }
+        look();
     }
 
     /**
@@ -77,51 +83,79 @@
     public void move(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
-            subscribe(false);
+            closeAll();
+            clock.move(queue.now());
+            look();
+        }
+    }
+
+    private void closeAll() {
+        out.values().forEach(Query::close);
+        out.clear();
+        if (latest != null) {
+            latest.close();
+        }
+        latest = null;
+        told = false;
+    }
+
+    /** Does what the clock says is due now, and looks again when it says. */
+    private void look() {
+        if (alarm != null) {
+            alarm.cancel();
+        }
+        for (WatchClock.Act act = act(); act != null; act = act()) {
+            if (act.kind() == WatchClock.Kind.BEGIN) {
+                begin(act.call());
+            } else {
+                // One that is given up for silence has been counted when the next went out beside it.
+                Query query = out.remove(act.call());
+                query.fault(act.call().isConnected() ? "no answer" : "no connection");
+                query.close();
+            }
+        }
+        if (clock.active()) {
+            alarm = queue.after(Math.max(0, clock.due() - queue.now()), this::look);
+        }
+        if (clock.lost() && !lost) {
+            lost = true;
             told = false;
-            open(clock.moved());
+            listener.unavailable();
         }
     }
 
-    private void open(long pause) {
-        Query next = new Query();
-        watch = next;
-        queue.after(pause, () -> follow(next));
+    private WatchClock.Act act() {
+        return clock.act(queue.now(), latest != null && latest.connection.open());
     }
 
-    private void follow(Query next) {
-        if (watch == next) {
-            next.ask();
+    private void begin(WatchClock.Call call) {
+        counters.count(Counter.DISCOVERY_CALLS);
+        if (!out.isEmpty()) {
+            counters.count(Counter.DISCOVERY_REOPENED);
+            out.values().forEach(q -> q.fault("no answer"));
         }
+        Query query = call.isConnected() ? latest : new Query();
+        latest = null;
+        out.put(call, query);
+        query.ask(call);
     }
 
-    private void answered(Query from, ServerList list, long pause) {
+    private void answered(Query from, WatchClock.Call call, ServerList list) {
         // The next call goes out before anything else: one that is late starts a new watch.
         generation = list.whole() ? list.generation() : Math.max(generation, list.generation());
-        if (pause == 0) {
-            from.ask();
-        } else {
-            queue.after(pause, () -> follow(from));
-        }
+        out.remove(call);
+        out.values().forEach(Query::close);
+        out.clear();
+        latest = from;
+        clock.answered(call, list.entries().isEmpty(), queue.now());
+        look();
+        lost = false;
         if (!told || list.whole() || !list.entries().isEmpty()) {
             told = true;
             listener.listed(list);
         }
     }
 
-    /** Silence alone does not say that discovery is down: the watch is opened anew, and only if that fails it is told. */
-    private void failed(boolean silent) {
-        long pause = silent ? clock.silent() : -1;
-        if (pause >= 0) {
-            counters.count(Counter.DISCOVERY_REOPENED);
-            open(pause);
-            return;
-        }
-        watch = null;
-        clock.failed(queue.now());
-        listener.unavailable();
-    }
-
     /** What an answer's body says: a list, or else why it is none. */
     private record Reading(ServerList list, String error) {
         static Reading of(Reply reply) {
@@ -139,43 +173,30 @@
     /** Calls to discovery, one after another on a connection of their own, until one fails. */
     private final class Query {
         private Connection connection;
-        private DecisionQueue.Alarm connecting;
-        private DecisionQueue.Alarm alarm;
-        private WatchClock.Call asked;
-        private long askedAt;
-        private boolean closed;
-        private int calls;
-
-        void ask() {
-            counters.count(Counter.DISCOVERY_CALLS);
-            int call = ++calls;
-            boolean opening = connection == null || !connection.open();
-            asked = clock.call(opening);
-            askedAt = queue.now();
-            alarm = queue.after(asked.limit(), () -> fail(call, "no answer", true));
-            if (!opening) {
-                call(call);
+        private boolean faulted;
+
+        void ask(WatchClock.Call call) {
+            if (call.isConnected()) {
+                send(call);
                 return;
             }
-            // Not left to the network alone: a connection that never comes up may not be told of either.
-            connecting = queue.after(WatchClock.CONNECT, () -> fail(call, "no connection", false));
             connection = connector.open(address, WatchClock.CONNECT, c -> queue.post(() -> {
-                if (call == calls && !closed) {
-                    connecting.cancel();
-                    call(call);
+                if (out.get(call) == this) {
+                    call.connected();
+                    send(call);
                 }
-            }), e -> queue.post(() -> fail(call, String.valueOf(e.getMessage()), false)), c -> { });
+            }), e -> queue.post(() -> fail(call, String.valueOf(e.getMessage()))), c -> { });
         }
 
-        private void call(int call) {
+        private void send(WatchClock.Call call) {
             BasicHttpRequest request = new BasicHttpRequest("GET",
-                PATH + "?since=" + generation + "&timeout_ms=" + asked.waitMs());
+                PATH + "?since=" + generation + "&timeout_ms=" + call.waitMs);
             request.addHeader("Host", address.getHostString() + ":" + address.getPort());
             connection.call(request, new byte[0], BODY_LIMIT, r -> read(call, r));
         }
 
         /** On an I/O thread, which carries sessions too. */
-        private void read(int call, Reply reply) {
+        private void read(WatchClock.Call call, Reply reply) {
             if (reply.body().length <= LARGE) {
                 queue.post(() -> replied(call, reply, Reading.of(reply)));
                 return;
@@ -189,50 +210,52 @@
             reader.start();
         }
 
-        private void replied(int call, Reply reply, Reading reading) {
-            if (closed || call != calls) {
+        private void replied(WatchClock.Call call, Reply reply, Reading reading) {
+            // One that was given up is not read: whoever came after it has asked from the same generation.
+            if (out.get(call) != this) {
                 return;
             }
             if (reply.status() != 200) {
-                fail(call, reply.status() == 0 ? "connection lost" : "status " + reply.status(), false);
+                fail(call, reply.status() == 0 ? "connection lost" : "status " + reply.status());
                 return;
             }
             ServerList list = reading.list();
             if (list == null) {
                 counters.count(Counter.DISCOVERY_MALFORMED);
-                fail(call, reading.error(), false);
+                fail(call, reading.error());
             } else if (list.changesOlderThan(generation)) {
                 // Guards against an old word on servers that newer words were heard on: none of it is taken.
                 counters.count(Counter.DISCOVERY_OLDER);
-                fail(call, "changes of generation " + list.generation() + " where " + generation + " is held", false);
+                fail(call, "changes of generation " + list.generation() + " where " + generation + " is held");
             } else {
-                alarm.cancel();
                 counters.count(Counter.DISCOVERY_ANSWERS);
+                faulted = false;
                 if (!reply.reusable()) {
                     connection.close();
                 }
-                answered(this, list, clock.answered(list.entries().isEmpty(), asked, queue.now() - askedAt));
+                answered(this, call, list);
             }
         }
 
-        private void fail(int call, String why, boolean silent) {
-            if (closed || call != calls) {
-                return;
+        private void fail(WatchClock.Call call, String why) {
+            if (out.remove(call, this)) {
+                fault(why);
+                close();
+                clock.failed(call, queue.now());
+                look();
             }
-            counters.count(Counter.DISCOVERY_FAILURES);
-            Log.warn("discovery-failed", why);
-            close();
-            failed(silent);
         }
 
-        void close() {
-            closed = true;
-            if (alarm != null) {
-                alarm.cancel();
-            }
-            if (connecting != null) {
-                connecting.cancel();
+        /** Counted once a call, though one may be silent first and fail then. */
+        void fault(String why) {
+            if (!faulted) {
+                faulted = true;
+                counters.count(Counter.DISCOVERY_FAILURES);
+                Log.warn("discovery-failed", why);
             }
+        }
+
+        void close() {
             if (connection != null) {
                 connection.close();
             }
--- a/balancer/src/main/java/calicochute/discovery/WatchClock.java
+++ b/balancer/src/main/java/calicochute/discovery/WatchClock.java
@@ -1,105 +1,165 @@
 package calicochute.discovery;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 
 /**
- * The times of a watch on the list: how long each call waits, when it counts as silent, and when the next one may follow.
- * Without I/O; time comes as an argument, all in microseconds but for what goes into a call.
+ * Decides when discovery is called: how long each call waits, when another goes out beside one that is silent, when a call is
+ * given up and when the next follows a failure. The only owner of those times. Without I/O; time comes as an argument, in
+ * microseconds but for what goes into a call.
  *
- * <p>A watch that has fallen silent is broken, and what it misses counts as told {@link #TOLD} after that. So even one that
- * falls silent at the moment a call goes out is found, and its successor asks, with 0.8 s to spare. Each wait that ends
- * with nothing costs a call at a service that is one for all balancers: the waits are no shorter than that takes, and drawn,
- * so that balancers told of one change at one moment do not call at one moment again.
+ * <p>What discovery has to tell counts as told {@link #TOLD} after it can be reached, whatever became of the calls before,
+ * and so does what a watch misses that falls silent. So while nothing answers, the next call begins within {@link #LONGEST}
+ * of the last one's beginning, however that ended. Discovery is one small service for all balancers: the times are drawn,
+ * spread as widely as this leaves room for, and nobody leaves the line before its turn.
  */
 final class WatchClock {
-    /** From a watch's silence until what it misses counts as told. */
+    /** From when discovery can be reached, or a watch's silence, until what there is to tell counts as told. */
     static final long TOLD = 6_000_000;
+    static final long NEVER = Long.MAX_VALUE;
     /** A connection to discovery comes up within this, or it never does. */
     static final long CONNECT = 1_200_000;
-    /** Calls on a watch that has answered wait between these. */
-    static final long LEAST_WAIT_MS = 2800, MOST_WAIT_MS = 3600;
-    /** How late an answer may be on a watch that has answered: the network, and others whose waits end just then. */
-    static final long LATE = 1_100_000;
-    /** A new watch stands in line with others: it waits for less and is awaited longer. */
-    static final long OPENING_WAIT_MS = 2000, OPENING = 5_000_000;
-    /** A silent watch is opened anew within this; one that moves within that. */
-    static final long REOPEN_WITHIN = 150_000, MOVE_WITHIN = 500_000;
+    /** Calls on a watch that has answered wait between these: drawn, lest balancers told of one change call again at once. */
+    static final long LEAST_WAIT_MS = 2400, MOST_WAIT_MS = 3200;
+    /** How late an answer may be on a watch that has answered, before another call goes out beside it. */
+    static final long LATE = 700_000;
+    /** A new watch waits for little: an answer says that it stands. */
+    static final long OPENING_WAIT_MS = 300;
+    /** Between the beginnings of calls that find no answer. The least outlasts a turn in discovery's line. */
+    static final long PATIENCE = 3_600_000, LONGEST = 4_400_000;
+    /** The same for the first call after a watch's silence or a move: there a second one that is silent has to be made good. */
+    static final long SOON = 1_220_000, SOON_AT_MOST = 1_350_000;
+    /** A watch that moves begins within this; one that nobody asked for by a time of their own within that. */
+    static final long MOVE_WITHIN = 1_200_000, BEGIN_WITHIN = 150_000;
     /** Between a failed call and the next at the least, and after an answer that came at once and told nothing. */
     static final long LEAST_PAUSE = 100_000;
-    private static final int MOST_DOUBLINGS = 5;
+    /** After a first failure at most; doubled by each further one up to the longest. */
+    static final long FIRST_PAUSE = 2_500_000;
+    private static final int MOST_OUT = 2, MOST_DOUBLINGS = 5;
     private final SplittableRandom random;
     private final long longestPause;
+    /** The older first. */
+    private final List<Call> out = new ArrayList<>();
+    private long next = NEVER;
     private int failures;
-    private long notBefore = Long.MIN_VALUE;
-    private boolean reopened;
+    private int silences;
+    /** The last call has answered, so the next goes on with its watch. */
+    private boolean follows;
+    private boolean soon;
 
-    /**
-     * One call.
-     *
-     * @param waitMs how long discovery may hold it back, in milliseconds
-     * @param limit from its beginning, that of its connection included, until it counts as silent
-     */
-    record Call(long waitMs, long limit) { }
+    /** One call that is out; {@code waitMs} is how long discovery may hold it back, in milliseconds. */
+    static final class Call {
+        final long waitMs;
+        final long begunAt;
+        private boolean connected;
+
+        Call(long waitMs, long begunAt, boolean connected) {
+            this.waitMs = waitMs;
+            this.begunAt = begunAt;
+            this.connected = connected;
+        }
+
+        /** Its connection has come up. */
+        void connected() {
+            connected = true;
+        }
+
+        boolean isConnected() {
+            return connected;
+        }
+    }
+
+    enum Kind { BEGIN, GIVE_UP }
+
+    /** What is to be done: a call to begin, on a new connection unless it is connected, or one to give up. */
+    record Act(Kind kind, Call call) { }
 
     /** @param longestPause no pause after failures is longer, unless it is the least */
     WatchClock(long seed, long longestPause) {
         random = new SplittableRandom(seed);
-        this.longestPause = longestPause;
+        this.longestPause = Math.min(longestPause, LONGEST);
     }
 
-    /** The next call; {@code opening} for the first on a connection. */
-    Call call(boolean opening) {
-        if (opening) {
-            return new Call(OPENING_WAIT_MS, OPENING);
-        }
-        long wait = random.nextLong(LEAST_WAIT_MS, MOST_WAIT_MS + 1);
-        return new Call(wait, wait * 1000 + LATE);
+    boolean active() {
+        return next != NEVER;
     }
 
-    /** Discovery has answered: returns how long to wait with the next call of the watch. */
-    long answered(boolean toldNothing, Call call, long took) {
-        failures = 0;
-        notBefore = Long.MIN_VALUE;
-        reopened = false;
-        // Guards against a discovery that does not wait: the calls would follow each other without an end.
-        return toldNothing && took < Math.min(LEAST_PAUSE, call.waitMs * 1000 / 2) ? LEAST_PAUSE : 0;
+    /** Neither an answer nor a call that may still have one in time: a call has failed, or two in a row were silent. */
+    boolean lost() {
+        return failures > 0 || silences > 1;
     }
 
-    /**
-     * The watch has fallen silent: returns how long to wait with opening it anew, or a negative number if that was done
-     * already since the last answer. Then discovery or the way to it is down, and calls back off.
-     */
-    long silent() {
-        if (reopened) {
-            return -1;
-        }
-        reopened = true;
-        return random.nextLong(REOPEN_WITHIN + 1);
+    /** When to look again for what is to be done. */
+    long due() {
+        return out.stream().filter(c -> !c.connected).mapToLong(c -> c.begunAt + CONNECT).reduce(next, Math::min);
     }
 
-    /** A call has failed for good: calls are spread and back off, lest many balancers storm one small service. */
-    void failed(long now) {
-        reopened = false;
-        long most = Math.min(longestPause, LEAST_PAUSE << ++failures);
-        failures = Math.min(failures, MOST_DOUBLINGS);
-        notBefore = now + Math.max(LEAST_PAUSE, random.nextLong(Math.max(1, most) + 1));
+    /** The watch begins within a time. */
+    void begin(long now, long within) {
+        end();
+        next = now + random.nextLong(within + 1);
     }
 
-    /** How long a new watch has to wait for failures before it. */
-    long pause(long now) {
-        return notBefore <= now ? 0 : notBefore - now;
+    /** Everybody is told to move at one moment. Failures at the old address no longer count. */
+    void move(long now) {
+        begin(now, MOVE_WITHIN);
+        soon = true;
     }
 
-    /** The watch moves to another address: returns within what it begins there. Failures at the old one no longer count. */
-    long moved() {
+    void end() {
+        out.clear();
+        next = NEVER;
         failures = 0;
-        notBefore = Long.MIN_VALUE;
-        reopened = false;
-        return random.nextLong(MOVE_WITHIN + 1);
+        silences = 0;
+        follows = false;
+        soon = false;
     }
 
-    /** The spread of a first watch that nobody asked for by a time of their own. */
-    long begun() {
-        return random.nextLong(REOPEN_WITHIN + 1);
+    /** The next thing to do, or null; to be asked until it is null. {@code open}: the last answer's connection still stands. */
+    Act act(long now, boolean open) {
+        for (Call c : out) {
+            if (!c.connected && now >= c.begunAt + CONNECT) {
+                failed(c, now);
+                return new Act(Kind.GIVE_UP, c);
+            }
+        }
+        if (now < next) {
+            return null;
+        }
+        if (out.size() == MOST_OUT) {
+            return new Act(Kind.GIVE_UP, out.remove(0));
+        }
+        // The silent one stays in line: it may have its turn yet.
+        silences += out.size();
+        Call call = follows ? new Call(random.nextLong(LEAST_WAIT_MS, MOST_WAIT_MS + 1), now, open)
+            : new Call(OPENING_WAIT_MS, now, false);
+        next = now + (follows ? call.waitMs * 1000 + LATE
+            : soon ? random.nextLong(SOON, SOON_AT_MOST + 1) : random.nextLong(PATIENCE, LONGEST + 1));
+        soon &= follows;
+        follows = false;
+        out.add(call);
+        return new Act(Kind.BEGIN, call);
+    }
+
+    /** Discovery has answered: any other call is dropped, and the watch goes on at once. */
+    void answered(Call call, boolean toldNothing, long now) {
+        end();
+        follows = true;
+        soon = true;
+        // Guards against a discovery that does not wait: the calls would follow each other without an end.
+        boolean atOnce = toldNothing && now - call.begunAt < Math.min(LEAST_PAUSE, call.waitMs * 1000 / 2);
+        next = now + (atOnce ? LEAST_PAUSE : 0);
+    }
+
+    /** A call has failed. Where none is left the next is spread and backs off, but comes no later than after silence. */
+    void failed(Call call, long now) {
+        if (out.remove(call) && out.isEmpty()) {
+            long most = Math.max(LEAST_PAUSE, Math.min(longestPause, FIRST_PAUSE << failures));
+            long least = failures == 0 ? LEAST_PAUSE : Math.max(LEAST_PAUSE, most / 2);
+            next = Math.max(now + LEAST_PAUSE, Math.min(now + random.nextLong(least, most + 1), next));
+            failures = Math.min(failures + 1, MOST_DOUBLINGS);
+            soon = false;
+        }
     }
 }
--- /dev/null
+++ b/balancer/src/test/java/calicochute/process/DiscoveryCrossingsTest.java
@@ -0,0 +1,178 @@
+package calicochute.process;
+
+import static calicochute.process.Program.await;
+import static calicochute.process.Program.list;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** Calls to discovery that cross each other: {@code WatchClockTest} says when each goes out, and here is what becomes of them. */
+public class DiscoveryCrossingsTest {
+    private final CountDownLatch release = new CountDownLatch(1);
+    private final CountDownLatch crossed = new CountDownLatch(1);
+    private Peer server;
+    private Peer discovery;
+    private Program program;
+
+    @Before
+    public void start() throws Exception {
+        server = new Peer(r -> Http.answer(200, "", "a map"));
+    }
+
+    private interface Numbered {
+        byte[] answer(int number, Http request) throws Exception;
+    }
+
+    private void run(Numbered script) throws Exception {
+        discovery = numbered(script);
+        program = new Program(discovery, server);
+    }
+
+    /** Discovery whose calls are numbered from 1, until the news is held: then it has nothing to tell. */
+    private Peer numbered(Numbered script) throws Exception {
+        Peer[] self = new Peer[1];
+        self[0] = new Peer(r -> r.firstLine().contains("since=9&") ? nothing(r) : script.answer(self[0].requests.size(), r));
+        return self[0];
+    }
+
+    /** As discovery does with nothing to tell: its answer comes at the end of the wait. */
+    private byte[] nothing(Http request) throws Exception {
+        release.await(Long.parseLong(request.firstLine().replaceAll(".*timeout_ms=(\\d+).*", "$1")), TimeUnit.MILLISECONDS);
+        return Http.answer(200, "", "{\"generation\":9,\"reset\":false,\"instances\":[]}");
+    }
+
+    private byte[] first() {
+        return Http.answer(200, "", list(2, "Ready", server));
+    }
+
+    private byte[] news() {
+        return Http.answer(200, "", list(9, "Terminating", server));
+    }
+
+    private byte[] silence() throws Exception {
+        release.await();
+        return null;
+    }
+
+    private void told() throws Exception {
+        await("told", () -> program.log().contains("INFO list generation=9 whole=false entries=1"));
+    }
+
+    @After
+    public void stop() throws Exception {
+        release.countDown();
+        crossed.countDown();
+        program.stop();
+        server.close();
+        discovery.close();
+    }
+
+    /**
+     * The third call goes out while the second may still have its turn; the first, given up just then, answers too late and
+     * is not missed: the third has asked from the same generation.
+     */
+    @Test
+    public void twoSilencesInARowAndAnAnswerThatIsGivenUp() throws Exception {
+        run((number, r) -> {
+            if (number == 2) {
+                crossed.await();
+                return news();
+            }
+            if (number == 4) {
+                crossed.countDown();
+            }
+            return number == 1 ? first() : number == 3 ? silence() : news();
+        });
+        told();
+        assertEquals(2, program.counter("discovery_reopened"));
+        assertEquals(2, program.counter("discovery_failures"));
+        assertEquals(3, discovery.connections.size());
+        assertTrue(discovery.requests.get(3).firstLine().contains("since=2&"));
+        assertTrue("the second is let go", Program.ended(discovery.connections.get(1)));
+    }
+
+    /** A call that counts as silent keeps its turn: its answer is taken, the watch goes on there, and the second call ends. */
+    @Test
+    public void aLateAnswerIsTaken() throws Exception {
+        run((number, r) -> {
+            if (number == 2) {
+                crossed.await();
+                return news();
+            }
+            if (number == 3) {
+                crossed.countDown();
+            }
+            return number == 1 ? first() : silence();
+        });
+        told();
+        assertTrue("the second is let go", Program.ended(discovery.connections.get(1)));
+        await("goes on", () -> discovery.requests.size() > 3);
+        assertEquals(2, discovery.connections.size());
+    }
+
+    /** Connections that end as they come up, while the silent call is out: tried again, and the list comes. */
+    @Test
+    public void aSilenceAndThenResets() throws Exception {
+        run((number, r) -> {
+            if (number == 2) {
+                discovery.mostConnections = 1;
+                return silence();
+            }
+            return number == 1 ? first() : news();
+        });
+        await("a silence and a reset", () -> program.counter("discovery_failures") >= 2);
+        assertFalse(program.log().contains("generation=9"));
+        discovery.connections.get(0).setSoTimeout(50);
+        assertThrows("the silent one keeps its turn", SocketTimeoutException.class,
+            () -> discovery.connections.get(0).getInputStream().read());
+        discovery.mostConnections = Integer.MAX_VALUE;
+        told();
+        assertTrue("the silent one is let go", Program.ended(discovery.connections.get(0)));
+    }
+
+    /** What can't be read, a refusal in words and an older word, one behind the other: the list held stays, and the good one comes. */
+    @Test
+    public void whatIsNoListAndThenOne() throws Exception {
+        List<byte[]> bad = List.of(Http.answer(200, "", "{\"generation\":9"), Http.answer(200, "", list(9, "Later", server)),
+            Http.answer(503, "", ""), Http.answer(200, "", list(1, "Terminating", server).replace("true", "false")));
+        run((number, r) -> number == 1 ? first() : number <= 5 ? bad.get(number - 2) : news());
+        told();
+        assertEquals(4, program.counter("discovery_failures"));
+        assertEquals(2, program.counter("discovery_malformed"));
+        assertEquals(1, program.counter("discovery_older"));
+        assertTrue(discovery.requests.get(5).firstLine().contains("since=2&"));
+    }
+
+    /** SIGHUP in an outage: asked at the new address from the version held, and a first call that hangs there keeps its turn. */
+    @Test
+    public void aMoveInAnOutageAndAFirstCallThatHangs() throws Exception {
+        run((number, r) -> number == 1 ? first() : silence());
+        await("watched", () -> discovery.requests.size() == 2);
+        Peer down = discovery;
+        down.close();
+        await("down", () -> program.counter("discovery_failures") >= 2);
+        discovery = numbered((number, r) -> {
+            if (number == 1) {
+                crossed.await();
+                return news();
+            }
+            crossed.countDown();
+            return silence();
+        });
+        Files.writeString(program.config, Files.readString(program.config).replace(down.address(), discovery.address()));
+        program.signal("HUP");
+        told();
+        assertTrue(discovery.requests.get(0).firstLine().contains("since=2&"));
+        assertTrue("the second is let go", Program.ended(discovery.connections.get(1)));
+    }
+}
--- a/balancer/src/test/java/calicochute/process/SilentWatchTest.java
+++ b/balancer/src/test/java/calicochute/process/SilentWatchTest.java
@@ -16,6 +16,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.Test;
 
 /** Watches that fall silent: {@code WatchClockTest} says when that is noticed, and here is what follows, at each point. */
@@ -48,9 +49,14 @@
                 if (first && bytes > 0) {
                     return Arrays.copyOf(change, Math.min(bytes, change.length - 1));
                 }
-                if (first || r.firstLine().contains("since=9&")) {
+                if (first) {
                     release.await();
                 }
+                if (r.firstLine().contains("since=9&")) {
+                    // As discovery does with nothing to tell: held back for longer, this watch would fall silent as well.
+                    release.await(Long.parseLong(r.firstLine().replaceAll(".*timeout_ms=(\\d+).*", "$1")), TimeUnit.MILLISECONDS);
+                    return Http.answer(200, "", "{\"generation\":9,\"reset\":false,\"instances\":[]}");
+                }
                 return change;
             });
             program = new Program(discovery, server);
