Answers: what came before a call's first byte is nobody's; copies remembered; drips end

Cause: a call awaited its answer from the moment it was asked for (Connection.call), on the decision thread; half a line that the I/O thread read after that and before the request's first byte was taken for the beginning of the answer, the request was sent all the same and failed as one that may have run. An answer in pieces that brought a byte now and then stood never still and was waited for without end (Errand.watch). A server that sends second copies late was given 5 ms each time. Checked and ruled out: a reset taken for the end of an answer without a length, kept whole or in pieces, the reset behind the last byte or apart from it (the system gives the bytes and then the error; HttpCore passes it on); interim answers without end (bounded before); half a line while a connection is free (ended before).

Change: a call awaits its answer from its own first byte on; what came before ends the connection and the call goes to another one. After something out of turn connections to that server rest 25 ms after an answer, for a minute. An answer in pieces may stand still for 5 s and comes at 1 kB a second in the long run (Pace, without I/O).

Open: a copy that comes when the next request is on its way can't be told from its answer.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -31,10 +31,13 @@
      * and ends the connection if nothing is awaited on it yet.
      */
     private static final long SETTLE = 5_000;
+    /** Where something came later or where none should: how long they rest then, and for how long. */
+    private static final long LONG_SETTLE = 25_000;
+    private static final long CAUTION = 60_000_000;
     /** Free connections to a server beyond which none is opened ahead, and how long none is after one that failed. */
     private static final int MOST_FREE = 16;
     private static final long SPARE_BAN = 20_000_000;
-    private static final Pool.Rules POOL = new Pool.Rules(Errand.FRESH, SETTLE, MOST_FREE, SPARE_BAN);
+    private static final Pool.Rules POOL = new Pool.Rules(Errand.FRESH, SETTLE, MOST_FREE, SPARE_BAN, LONG_SETTLE, CAUTION);
     static final String TIME_LEFT = "X-Remaining-Ms";
     /** Idle connections are looked at no more often. */
     private static final long SWEEP = 10_000;
--- a/balancer/src/main/java/calicochute/backend/Connections.java
+++ b/balancer/src/main/java/calicochute/backend/Connections.java
@@ -60,6 +60,10 @@
             }), c -> queue.post(() -> {
                 open.remove(one);
                 Pool.Ended ended = server.pool.ended(c, queue.now());
+                if (c.spoilt()) {
+                    counters.count(Counter.CONNECTIONS_SPOILT);
+                    server.pool.outOfTurn(queue.now());
+                }
                 if (ended == Pool.Ended.KEPT && !c.spoilt()) {
                     endedEarly(server);
                 } else if (ended == Pool.Ended.SPARE) {
--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -20,10 +20,9 @@
     static final long FRESH = 2_000;
     /** A call on an ended connection fails within a round trip; a later failure is one of the answer. */
     private static final long AT_ONCE = 20_000;
-    /** Bodies in pieces: how often they are looked at, and how long a server may leave one unread or an answer unfinished. */
+    /** Bodies in pieces: how often they are looked at, and how long a server may leave one unread. */
     private static final long WATCH = 500_000;
     private static final long UPLOAD_STILL = 10_000_000;
-    private static final long ANSWER_STILL = 5_000_000;
     private final Connections connections;
     private final DecisionQueue queue;
     private final Counters counters;
@@ -38,6 +37,7 @@
     private final Progress progress;
     /** The answer, once it has begun. */
     private Pipe answer;
+    private Pace pace;
     private boolean wrote;
     private Connection connection;
     private DecisionQueue.Alarm timeout;
@@ -98,7 +98,7 @@
                 }
                 return;
             }
-        } else if (answer != null && answer.held() == 0 && answer.stillFor() >= ANSWER_STILL) {
+        } else if (answer != null && !pace.holds(queue.now(), answer.put(), answer.held() == 0)) {
             counters.count(Counter.ANSWERS_CUT);
             end(progress.cut(Outcome.RESET), null);
             return;
@@ -124,6 +124,7 @@
             timeout.cancel();
         }
         answer = from.pipe();
+        pace = new Pace(queue.now(), answer.put());
         wrote = true;
         course.begun(head, from);
         if (!(body instanceof Body.Streamed)) {
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -44,6 +44,7 @@
     private final boolean told;
     private volatile long payload;
     private EndpointDetails endpoint;
+    private Runnable sending = () -> { };
     private long sentBefore;
     private HttpResponse response;
     private long length = -1;
@@ -71,6 +72,11 @@
         payload = body instanceof Body.Streamed streamed ? streamed.length() : left.remaining();
     }
 
+    /** Told on the I/O thread just before the first byte of the request. */
+    void beforeSending(Runnable listener) {
+        sending = listener;
+    }
+
     /** Whose bytes are counted, and how many had been sent before this call. */
     void on(EndpointDetails connection) {
         endpoint = connection;
@@ -79,6 +85,7 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        sending.run();
         channel.sendRequest(request, body instanceof Body.Streamed streamed
             ? new BasicEntityDetails(streamed.length(), null)
             : left.hasRemaining() ? new BasicEntityDetails(left.remaining(), null) : null, context);
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -52,8 +52,9 @@
     }
 
     private void call(HttpRequest request, Body body, Call.Limits limits, CallListener listener) {
-        awaitsAnswer = true;
         Call call = new Call(request, body, limits, listener);
+        // Only then: what has come until then belongs to no call, also if it is read after this one was asked for.
+        call.beforeSending(() -> awaitsAnswer = true);
         latest = call;
         call.on(((HttpConnection) session.getHandler()).getEndpointDetails());
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
@@ -67,7 +68,7 @@
         }
     }
 
-    /** True from a call until the head of its final answer. */
+    /** True from a call's first byte until the head of its final answer. */
     boolean awaitsAnswer() {
         return awaitsAnswer;
     }
--- a/balancer/src/main/java/calicochute/pool/Pool.java
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -29,14 +29,17 @@
     private boolean spareWanted;
     private boolean spareOpening;
     private long noSparesUntil = Long.MIN_VALUE;
+    private long cautiousUntil = Long.MIN_VALUE;
 
     /**
      * @param freshRest rest of a connection that has come up, in microseconds
      * @param answerRest rest of a connection after an answer, in microseconds
      * @param mostFree with so many free ones no spare is wanted
      * @param spareBan for so long after a spare that failed none is opened, in microseconds
+     * @param longRest rest after an answer of a server that sent something out of turn, in microseconds
+     * @param caution how long that is remembered, in microseconds
      */
-    public record Rules(long freshRest, long answerRest, int mostFree, long spareBan) {
+    public record Rules(long freshRest, long answerRest, int mostFree, long spareBan, long longRest, long caution) {
     }
 
     /** A connection lent to a call that may begin in {@code rest} microseconds. */
@@ -86,7 +89,13 @@
 
     /** A lent connection comes back after an answer. */
     public void give(C connection, long now) {
-        free.addFirst(new Kept<>(connection, now, now + rules.answerRest, true));
+        long rest = now < cautiousUntil ? rules.longRest : rules.answerRest;
+        free.addFirst(new Kept<>(connection, now, now + rest, true));
+    }
+
+    /** The server sent something that belongs to no call: what else it sends late must find its connection at rest. */
+    public void outOfTurn(long now) {
+        cautiousUntil = now + rules.caution;
     }
 
     /** Whether a connection should be opened ahead; if so it counts as being opened from now on. */
--- a/balancer/src/test/java/calicochute/pool/PoolTest.java
+++ b/balancer/src/test/java/calicochute/pool/PoolTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 class PoolTest {
-    private static final Pool.Rules RULES = new Pool.Rules(2, 5, 2, 20);
+    private static final Pool.Rules RULES = new Pool.Rules(2, 5, 2, 20, 25, 100);
 
     /** A connection of the model: whether the server still holds it open. */
     private static final class Conn {
@@ -36,6 +36,18 @@
         assertNull(pool.take(7));
     }
 
+    /** A copy of an answer came late once: the next one must find the connection at rest, not under the next call. */
+    @Test
+    void aServerThatSpokeOutOfTurnIsGivenTimeForAWhile() {
+        Pool<Conn> pool = pool();
+        Conn one = new Conn();
+        pool.outOfTurn(0);
+        pool.give(one, 10);
+        assertEquals(new Lent<>(one, 20), pool.take(15));
+        pool.give(one, 100);
+        assertEquals(new Lent<>(one, 0), pool.take(105));
+    }
+
     @Test
     void theYoungestOfTheRestedIsLentAndTheOldestAreClosed() {
         Pool<Conn> pool = pool();
--- a/balancer/src/test/java/calicochute/process/PiecesTest.java
+++ b/balancer/src/test/java/calicochute/process/PiecesTest.java
@@ -86,6 +86,60 @@
         assertArrayEquals(body, server.requests.get(0).body());
     }
 
+    /** An answer without a length ends with the connection's end, and not with its reset, however much has come before that. */
+    @Test
+    public void aResetIsNoEndOfAnAnswerWithoutALength() throws Exception {
+        for (int bytes : new int[] {1000, 100_000}) {
+            for (boolean reset : new boolean[] {false, true}) {
+                for (boolean together : new boolean[] {false, true}) {
+                    checkUntoldLength(bytes, reset, together);
+                }
+            }
+        }
+    }
+
+    private void checkUntoldLength(int bytes, boolean reset, boolean together) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Socket client = restartBefore(listener);
+            try (client) {
+                Socket socket = listener.accept();
+                Http.read(socket.getInputStream());
+                byte[] answer = Arrays.copyOf("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1), 19 + bytes);
+                socket.getOutputStream().write(answer, 0, answer.length - 1);
+                if (!together && bytes > 50_000) {
+                    assertEquals(200, head(client.getInputStream()));
+                }
+                socket.getOutputStream().write(answer, answer.length - 1, 1);
+                socket.setSoLinger(reset, 0);
+                socket.close();
+                String what = bytes + " bytes, reset " + reset + ", together " + together;
+                if (!together && bytes > 50_000) {
+                    String rest = new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+                    assertEquals(what, !reset, rest.endsWith("\r\n0\r\n\r\n"));
+                } else {
+                    assertEquals(what, !reset, wholeFrom(client.getInputStream(), bytes));
+                }
+            }
+        }
+    }
+
+    private static int head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            head.append((char) in.read());
+        }
+        return new Http(head.toString(), null).status();
+    }
+
+    private static boolean wholeFrom(InputStream in, int bytes) {
+        try {
+            Http answer = Http.read(in);
+            return answer != null && answer.status() == 200 && answer.body().length == bytes;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** A long answer's first bytes are with the client before the server has given the last. */
     @Test
     public void theFirstPiecesAreNotHeldBack() throws Exception {
