A keyed repeat follows the group its server was in when it was sent to

Cause: seen with a new exhaustive test over rows of four events (list changes of one server, ends of attempts, arrivals, 50 ms): where a server is listed again in another zone or cell while an attempt of a keyed request is out there, the repeat went to the server's new group, which knows nothing of the key. Legality.sameGroup read zone and cell of the server's present entry. Ruled out by the same rows: sends to draining, unlisted or just restarted servers, two attempts at once, a second send of what may run once, a refusal of what may have run, a lost or second answer.

Change: an attempt keeps the entry of its sending (Attempt.to); sameGroup compares with that. ListChangeTest plays all 14,641 rows for six kinds of request, two of them on the walk, whose order is older than the change.

Measured: ListChangeTest fails for ZONE and CELL without the change ([MOVES, MAY_HAVE_RUN, ..]), and for each of these mutants: draining allowed, unlisted allowed (on the walk), cold starts unguarded. Decision tests pass.

--- a/decision/src/main/java/calicochute/decision/Attempt.java
+++ b/decision/src/main/java/calicochute/decision/Attempt.java
@@ -4,6 +4,8 @@
 final class Attempt {
     final Request request;
     final Server server;
+    /** Its backend as it was listed then: one that has moved since remembers no key where it is now. */
+    final Balancer.Backend to;
     final int number;
     long sentAt;
     boolean out = true, mayHaveRun = true, begun;
@@ -13,6 +15,7 @@
     Attempt(Request request, Server server, int number, long sentAt) {
         this.request = request;
         this.server = server;
+        to = server.entry;
         this.number = number;
         this.sentAt = sentAt;
     }
--- a/decision/src/main/java/calicochute/decision/Legality.java
+++ b/decision/src/main/java/calicochute/decision/Legality.java
@@ -26,7 +26,7 @@
         if (runsFreely(r)) { return true; }
         Attempt first = r.firstThatMayHaveRun();
         RequestClass c = known.classOf(r);
-        return bound(r) && known.now - first.sentAt < c.window() && sameGroup(c, first.server, s);
+        return bound(r) && known.now - first.sentAt < c.window() && sameGroup(c, first.to, s.entry);
     }
 
     /** Gets no second chance everywhere: others find out which backends are bad. */
@@ -39,8 +39,8 @@
         return r.firstThatMayHaveRun() == null || known.classOf(r).effect() == Effect.REPEATABLE;
     }
 
-    private static boolean sameGroup(RequestClass c, Server a, Server b) {
-        boolean zone = a.entry.zone().equals(b.entry.zone()), cell = a.entry.cell() == b.entry.cell();
+    private static boolean sameGroup(RequestClass c, Balancer.Backend a, Balancer.Backend b) {
+        boolean zone = a.zone().equals(b.zone()), cell = a.cell() == b.cell();
         return c.scope() == KeyScope.ALL || (c.scope() == KeyScope.ZONE ? zone : cell);
     }
 
