What outlives a process says whose it is: what is another deployment's is not taken

Cause (seen by tests): a note of what was learnt was taken by any process that found it under the file's name. Written under settings with another tier, a class of another effect or other tenants it gave the newcomer its speeds, its limit of admission and its typical latencies (`recalled` in the log of a start whose `view` may not run twice). Bans likewise, and the file names of balancers a/b and a_b were one. A call that changed nothing was answered with yes while the file was torn, so that a restart forgot the ban. Checked and ruled out: torn notes at every seventh byte, too old and from the future are refused as before. Lines: LearntFile.read, Outages.parse, OutageFile.change, SharedFolder.file.

Change: takeover.Origin (balancer, tier, classes with effect and key scope, tenants) stands in the note; where it differs the note is left whole and `learnt-foreign` says so. Aims, deadlines, shares and the order of lists may differ. The file of bans says balancer and tier, not classes: a ban outlives a change of settings; without an owner it is of an earlier version and counts, so an upgrade lifts no ban. A torn or foreign file is said (`outages-not-used`) and mended by the next call.

--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -28,6 +28,7 @@
 import calicochute.settings.Succession;
 import calicochute.takeover.LearntFile;
 import calicochute.takeover.Lives;
+import calicochute.takeover.Origin;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -92,7 +93,7 @@
         balancer = Balancer.create(settings);
         backend = new BackendServers(connector, queue, counters, settings.limits().connectTimeout(),
             configuration.connectionIdle(), configuration.bounds(), this);
-        membership = new Membership(backend, figures, queue, new OutageFile(shared), this::tell);
+        membership = new Membership(backend, figures, queue, new OutageFile(shared, settings.tier()), this::tell);
         discovery = new Discovery(connector, queue, counters, configuration.discovery(), membership, settings);
         fleet = FleetStart.of(configuration, queue, () -> succession, this::tell);
         actions = new ModuleActions(this, open, backend, discovery, queue, counters);
@@ -105,7 +106,7 @@
         lives = new Lives(shared);
         // Where processes follow each other on one socket.
         heritage = inherited == null || shared == null ? null
-            : new Heritage(new LearntFile(shared), balancer, queue, counters, membership::files, () -> staff.presence().state() != Presence.State.ENDING);
+            : new Heritage(new LearntFile(shared), () -> Origin.of(configuration.name(), succession.current()), balancer, queue, counters, membership::files, () -> staff.presence().state() != Presence.State.ENDING);
         settings.classes().forEach(c -> figures.listClass(c.name()));
     }
 
--- a/balancer/src/main/java/calicochute/outage/OutageFile.java
+++ b/balancer/src/main/java/calicochute/outage/OutageFile.java
@@ -1,5 +1,6 @@
 package calicochute.outage;
 
+import calicochute.metrics.Log;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -16,13 +17,22 @@
  * under an OS file lock. Without a folder the word is kept in memory alone. All on one thread.
  */
 public final class OutageFile {
+    private final String balancer;
+    private final int tier;
     private final Path file;
     private final Path lock;
     private Outages held = Outages.NONE;
     private Object seenKey;
+    /** What the file says now is not this balancer's word. */
+    private boolean unusable;
 
-    /** @param shared the folder that the processes share, or null */
-    public OutageFile(SharedFolder shared) {
+    /**
+     * @param shared the folder that the processes share, or null
+     * @param tier of the balancer
+     */
+    public OutageFile(SharedFolder shared, int tier) {
+        balancer = shared == null ? "" : shared.balancer();
+        this.tier = tier;
         file = shared == null ? null : shared.file(".out");
         lock = shared == null ? null : shared.file(".out.lock");
     }
@@ -36,7 +46,11 @@
             BasicFileAttributes now = Files.readAttributes(file, BasicFileAttributes.class);
             Object key = now.fileKey() + " " + now.lastModifiedTime() + " " + now.size();
             if (!key.equals(seenKey)) {
-                Outages read = Outages.parse(Files.readString(file));
+                Outages read = Outages.parse(Files.readString(file), balancer, tier);
+                unusable = read == null;
+                if (unusable) {
+                    Log.warn("outages-not-used", file.getFileName() + " is torn, or not of " + balancer + " at tier " + tier + ": held are " + held.since().keySet());
+                }
                 held = read == null ? held : read;
                 seenKey = key;
             }
@@ -56,8 +70,9 @@
              FileLock ours = channel.lock()) {
             assert ours.isValid();
             Outages next = how.apply(read());
-            if (!next.equals(held) || seenKey == null) {
-                SharedFolder.replace(file, next.text());
+            // Also where nothing changes but the file does not say so: the caller is about to be told that it does.
+            if (!next.equals(held) || seenKey == null || unusable) {
+                SharedFolder.replace(file, next.text(balancer, tier));
                 held = next;
                 seenKey = null;
             }
--- a/balancer/src/main/java/calicochute/outage/Outages.java
+++ b/balancer/src/main/java/calicochute/outage/Outages.java
@@ -45,7 +45,13 @@
         return new Outages(next);
     }
 
-    public String text() {
+    /**
+     * With the owner in it. Its classes and tenants are not: a ban outlives a change of settings.
+     *
+     * @param balancer whose operators' word it is
+     * @param tier of that balancer: a server of another tier may have the same id
+     */
+    public String text(String balancer, int tier) {
         JsonArray out = new JsonArray();
         since.forEach((id, at) -> {
             JsonObject one = new JsonObject();
@@ -55,15 +61,21 @@
         });
         JsonObject root = new JsonObject();
         root.addProperty("version", VERSION);
+        root.addProperty("balancer", balancer);
+        root.addProperty("tier", tier);
         root.add("out", out);
         return root + "\n";
     }
 
-    /** Reads {@link #text}; null for anything else: a torn or foreign file changes nothing. */
-    public static Outages parse(String text) {
+    /**
+     * Reads {@link #text}; null for anything else: a torn or foreign file changes nothing. A file that names no owner is one of an earlier version,
+     * whose bans hold across the upgrade.
+     */
+    public static Outages parse(String text, String balancer, int tier) {
         try {
             JsonObject root = JsonParser.parseString(text).getAsJsonObject();
-            if (root.get("version").getAsInt() != VERSION) {
+            if (root.get("version").getAsInt() != VERSION || root.has("balancer") && !root.get("balancer").getAsString().equals(balancer)
+                || root.has("tier") && root.get("tier").getAsInt() != tier) {
                 return null;
             }
             Map<String, Long> out = new TreeMap<>();
--- a/balancer/src/main/java/calicochute/takeover/LearntFile.java
+++ b/balancer/src/main/java/calicochute/takeover/LearntFile.java
@@ -1,6 +1,7 @@
 package calicochute.takeover;
 
 import calicochute.decision.Learnt;
+import calicochute.metrics.Log;
 import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
 import java.io.IOException;
@@ -10,29 +11,36 @@
 
 /** What the module of the serving process has learnt, in the folder that the processes share. */
 public final class LearntFile {
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
     /** Older knowledge is worth no more than none. */
     private static final long OLDEST_MS = 10_000;
     private final Gson gson = new Gson();
     private final Path file;
 
-    /** {@code learnt} as it was at that Unix time in milliseconds. */
-    public record Note(int version, long atMs, Learnt learnt) { }
+    /** {@code learnt} as it was at that Unix time in milliseconds, and by whom. */
+    public record Note(int version, long atMs, Origin origin, Learnt learnt) { }
 
     public LearntFile(SharedFolder shared) {
         file = shared.file(".learnt");
     }
 
-    public void write(Learnt learnt, long nowMs) throws IOException {
-        SharedFolder.replace(file, gson.toJson(new Note(VERSION, nowMs, learnt)));
+    public void write(Origin origin, Learnt learnt, long nowMs) throws IOException {
+        SharedFolder.replace(file, gson.toJson(new Note(VERSION, nowMs, origin, learnt)));
     }
 
-    /** What was noted last; null if that is nothing, too old, torn or foreign. */
-    public Note read(long nowMs) throws IOException {
+    /** What was noted last; null if that is nothing, too old, torn, or of another origin than the reader's. */
+    public Note read(Origin reader, long nowMs) throws IOException {
         try {
             Note note = gson.fromJson(Files.readString(file), Note.class);
-            return note == null || note.version != VERSION || nowMs - note.atMs > OLDEST_MS || nowMs < note.atMs
-                || note.learnt == null || !note.learnt.sane() ? null : note;
+            if (note == null || note.version != VERSION || nowMs - note.atMs > OLDEST_MS || nowMs < note.atMs
+                || note.learnt == null || !note.learnt.sane()) {
+                return null;
+            }
+            if (!reader.equals(note.origin)) {
+                Log.warn("learnt-foreign", "learnt by " + note.origin + ", not taken by " + reader);
+                return null;
+            }
+            return note;
         } catch (NoSuchFileException | JsonParseException e) {
             return null;
         }
--- a/balancer/src/test/java/calicochute/outage/OverlayTest.java
+++ b/balancer/src/test/java/calicochute/outage/OverlayTest.java
@@ -69,7 +69,7 @@
     @Property
     void textIsReadAsItWasWritten(@ForAll Map<String, Long> since) {
         Outages outages = new Outages(new TreeMap<>(since));
-        assertEquals(outages, Outages.parse(outages.text()));
+        assertEquals(outages, Outages.parse(outages.text("n0", 1), "n0", 1));
     }
 
     /** A file torn anywhere is no file, rather than one with fewer bans. */
@@ -79,10 +79,10 @@
         for (Step step : steps) {
             outages = outages.with(step.id, step.what);
         }
-        String text = outages.text().trim();
+        String text = outages.text("n0", 1).trim();
         int cut = (int) Math.min(text.length() - 1, Math.abs(part) % 1 * text.length());
-        assertNull(Outages.parse(text.substring(0, cut)));
-        assertNull(Outages.parse("{\"version\":2,\"out\":[]}"));
-        assertTrue(Outages.parse(text).equals(outages));
+        assertNull(Outages.parse(text.substring(0, cut), "n0", 1));
+        assertNull(Outages.parse("{\"version\":2,\"out\":[]}", "n0", 1));
+        assertTrue(Outages.parse(text, "n0", 1).equals(outages));
     }
 }
--- a/balancer/src/test/java/calicochute/process/Platform.java
+++ b/balancer/src/test/java/calicochute/process/Platform.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * A platform that holds the clients' listening socket and starts versions of the program beside each other, with one folder
@@ -63,8 +64,13 @@
 
     /** Starts one more; it serves when this returns. */
     int start(int admin, Peer discovery, Peer... servers) throws Exception {
+        return start(UnaryOperator.identity(), admin, discovery, servers);
+    }
+
+    /** With a configuration changed before. */
+    int start(UnaryOperator<String> edit, int admin, Peer discovery, Peer... servers) throws Exception {
         int n = started++;
-        Files.writeString(folder.resolve("config" + n), Program.configuration(port, admin, 1024, discovery, servers));
+        Files.writeString(folder.resolve("config" + n), edit.apply(Program.configuration(port, admin, 1024, discovery, servers)));
         Files.createFile(folder.resolve("start" + n));
         Program.await("it runs", () -> Files.exists(folder.resolve("pid" + n)));
         pids.add(Long.parseLong(Files.readString(folder.resolve("pid" + n))));
--- a/balancer/src/test/java/calicochute/process/UpgradeTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeTest.java
@@ -132,6 +132,20 @@
         assertEquals(200, platform.send(view()).status());
     }
 
+    /** A class of the same name that may not run twice any more is another class: what was learnt of it and around it is not taken. */
+    @Test
+    public void whatWasLearntUnderOtherEffectsStaysBehind() throws Exception {
+        platform.start(freePort(), discovery, server);
+        await("it has noted", () -> Files.exists(platform.shared().resolve("calicochute-n0.learnt")));
+        int next = platform.start(text -> text.replace("\"effect\":\"repeatable\"", "\"effect\":\"once\""), freePort(), discovery, server);
+        assertTrue(platform.log(next), platform.log(next).contains("learnt-foreign"));
+        assertFalse(platform.log(next), platform.log(next).contains("recalled"));
+        // Both accept at the one socket, and the first one still takes the class for what it was.
+        platform.signal(0, "KILL");
+        await("the first is gone", () -> platform.ended(0));
+        assertEquals(200, platform.send(view().replace("GET", "POST")).status());
+    }
+
     private static int unavailable(int admin) throws Exception {
         String text = new String(Program.admin(admin, "GET stats", "").body());
         return Integer.parseInt(text.replaceAll("(?s).*members_unavailable:(\\d+).*", "$1"));
