State of an experiment is of one balancer and cluster: another is refused (C505)

Cause (seen by a test): the checksum of a state file held its name and its bytes, not its owner. A file copied under this balancer's name, or kept by one of the same name in another cluster with an experiment written alike, was read as its own, with promises that it never made; docs/errors.md said already that it is not. Checked: the register's own header holds experiment, definition and the list of peers, so that a list of peers of the same names is what it takes. Lines: StateFolder.sum.

Change: version 2, whose checksum holds cluster and balancer. Version 1 is still read: a voter must not forget over an upgrade.

In a scratch copy without the owner in the sum and without version 1 its two new tests fail.

--- a/balancer/src/main/java/calicochute/fleet/Experiments.java
+++ b/balancer/src/main/java/calicochute/fleet/Experiments.java
@@ -34,7 +34,7 @@
         this.channels = channels;
         this.trials = trials;
         peers = file.ids();
-        states = file.state().isEmpty() ? null : new StateFolder(Path.of(file.state()), file.me());
+        states = file.state().isEmpty() ? null : new StateFolder(Path.of(file.state()), file.cluster(), file.me());
     }
 
     void begin(Experiment experiment) {
--- a/balancer/src/main/java/calicochute/fleet/StateFolder.java
+++ b/balancer/src/main/java/calicochute/fleet/StateFolder.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -17,20 +18,28 @@
 
 /**
  * What outlives a process, a small file for each name, written whole or not at all on a thread of its own: a new file is forced to
- * the disk and then takes the old one's name. Each begins with a mark, a version and a checksum; what lacks them is left as it is.
+ * the disk and then takes the old one's name. Each begins with a mark, a version and a checksum, into which whose state it is goes as well; what
+ * lacks them is left as it is.
  */
 final class StateFolder {
     private static final int MARK = 0xCA11C0DE;
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
+    /** Its checksum did not hold the owner. Still read: a voter that forgot over an upgrade what it had promised could promise twice. */
+    private static final int OWNERLESS = 1;
     private static final int HEAD = 16;
     private static final int LONGEST = 1 << 16;
     private final Path folder;
+    private final String cluster;
     private final String owner;
     private final ExecutorService writer = Executors.newSingleThreadExecutor(new DefaultThreadFactory("fleet-state", true));
 
-    /** @param owner the balancer's name: two may share a folder, never a file */
-    StateFolder(Path folder, String owner) {
+    /**
+     * @param cluster the fleet's name: the state of one is nothing to another
+     * @param owner the balancer's name: two may share a folder, never a file
+     */
+    StateFolder(Path folder, String cluster, String owner) {
         this.folder = folder;
+        this.cluster = cluster;
         this.owner = owner;
     }
 
@@ -52,14 +61,15 @@
                 throw new FleetException(Code.STATE_FOREIGN, file.toString(), "is longer than any state");
             }
             ByteBuffer all = ByteBuffer.wrap(Files.readAllBytes(file));
-            if (all.remaining() < HEAD || all.getInt() != MARK || all.getInt() != VERSION) {
+            int version = all.remaining() < HEAD || all.getInt() != MARK ? 0 : all.getInt();
+            if (version != VERSION && version != OWNERLESS) {
                 throw new FleetException(Code.STATE_FOREIGN, file.toString(), "is no state of this version");
             }
             long sum = all.getLong();
             byte[] state = new byte[all.remaining()];
             all.get(state);
-            if (sum != sum(name, state)) {
-                throw new FleetException(Code.STATE_FOREIGN, file.toString(), "is torn, or of another name");
+            if (sum != sum(version, name, state)) {
+                throw new FleetException(Code.STATE_FOREIGN, file.toString(), "is torn, or of another name, balancer or cluster");
             }
             return state;
         } catch (NoSuchFileException e) {
@@ -81,7 +91,7 @@
             try {
                 Files.createDirectories(folder);
                 try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-                    ByteBuffer all = ByteBuffer.allocate(HEAD + state.length).putInt(MARK).putInt(VERSION).putLong(sum(name, state)).put(state).flip();
+                    ByteBuffer all = ByteBuffer.allocate(HEAD + state.length).putInt(MARK).putInt(VERSION).putLong(sum(VERSION, name, state)).put(state).flip();
                     while (all.hasRemaining()) {
                         out.write(all);
                     }
@@ -95,9 +105,13 @@
         });
     }
 
-    private static long sum(String name, byte[] state) {
+    private long sum(int version, String name, byte[] state) {
         CRC32C sum = new CRC32C();
-        sum.update(name.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        if (version != OWNERLESS) {
+            // With a length, so that no two owners read alike.
+            sum.update((cluster.length() + " " + cluster + owner + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+        sum.update(name.getBytes(StandardCharsets.UTF_8));
         sum.update(state);
         return sum.getValue();
     }
--- a/balancer/src/test/java/calicochute/fleet/StateFolderTest.java
+++ b/balancer/src/test/java/calicochute/fleet/StateFolderTest.java
@@ -36,12 +36,12 @@
 
     private void write(String owner, String name, byte[] state) throws Exception {
         CompletableFuture<Boolean> kept = new CompletableFuture<>();
-        new StateFolder(folder, owner).write(name, state, () -> kept.complete(true));
+        new StateFolder(folder, "ours", owner).write(name, state, () -> kept.complete(true));
         kept.get(30, TimeUnit.SECONDS);
     }
 
     private byte[] read(String owner, String name) {
-        return new StateFolder(folder, owner).read(name);
+        return new StateFolder(folder, "ours", owner).read(name);
     }
 
     /** Bytes of the file of name "n" are put there, and can't be used. */
@@ -91,6 +91,27 @@
         leftAsItIs(Files.readAllBytes(folder.resolve("me.n.state")));
     }
 
+    /** Copied under this balancer's file name, or kept by one of the same name in another cluster: promises that it never made. */
+    @Test
+    void anotherBalancersStateIsNotTaken() throws Exception {
+        write("you", "n", bytes("state"));
+        leftAsItIs(Files.readAllBytes(folder.resolve("you.n.state")));
+        write("me", "n", bytes("state"));
+        assertNull(new StateFolder(folder, "theirs", "me").read("n"));
+        assertArrayEquals(bytes("state"), read("me", "n"));
+    }
+
+    /** Written by an earlier version, which kept no owner: a voter must not forget over an upgrade. */
+    @Test
+    void stateOfTheVersionBeforeIsStillRead() throws Exception {
+        java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
+        sum.update(bytes("n" + "state"));
+        Files.createDirectories(folder);
+        Files.write(folder.resolve("me.n.state"),
+            java.nio.ByteBuffer.allocate(21).putInt(0xCA11C0DE).putInt(1).putLong(sum.getValue()).put(bytes("state")).array());
+        assertArrayEquals(bytes("state"), read("me", "n"));
+    }
+
     @Test
     void whatIsNotOnTheDiskIsNotSaidToBe() throws Exception {
         CompletableFuture<String> said = new CompletableFuture<>();
@@ -107,7 +128,7 @@
         CompletableFuture<Boolean> kept = new CompletableFuture<>();
         try {
             folder = Files.writeString(root.resolve("file"), "no folder").resolve("below");
-            new StateFolder(folder, "me").write("n", bytes("state"), () -> kept.complete(true));
+            new StateFolder(folder, "ours", "me").write("n", bytes("state"), () -> kept.complete(true));
             assertTrue(said.get(30, TimeUnit.SECONDS).contains("C504"));
         } finally {
             System.setOut(before);
