After a reload as after a restart: dropped tenants end, stops go by deadlines in force

Cause (seen by tests): Succession kept every tenant there ever was, and sessions of one that SIGHUP took out were served until the next restart, which refused them. A planned stop went by the longest deadline of all classes since the start, also those taken out: with a new file of 1 s deadlines behind one of 9 s a session was left past the platform's kill (504 at its own time; 502 before the kill now). A file of another tier was taken under load, over servers, estimates and bans of the old one. Checked and ruled out: classes renamed, with another effect or in another order, tenants in another order (indexes go by name and rules; SuccessionTest, ServeTest). Lines: Succession.tenantIndex, Node.longestDeadline, Configuration.readNext.

Change: a dropped tenant is taken for the 10 s that a dropped class is, keeps its index, and gets it again if it returns. Succession.longestDeadline is of the settings in force. SIGHUP with another `layer` is turned down (C103).

Measured: SuccessionTest 5, RestartTest 2, ServeTest's two of reloads: all passed once in this form. With each guard taken out in a scratch copy (one run) aDroppedTenantIsTakenForAWhile, theLongestDeadlineIsOneInForce, aStopGoesByTheDeadlinesInForce and newSettingsCountFromTheHangupOn fail. Flaky and not mended here, since not of this part: ServeTest.theLogIsInUtcWhateverTheMachinesZone, 1 of 1 failed under load (it reads the log before `serving` is written; /ready may say yes first).

--- a/balancer/src/main/java/calicochute/frontend/SessionReader.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionReader.java
@@ -53,7 +53,7 @@
         int classIndex = known(told.classIndex(one(request, "X-Lane", true), now), "X-Lane");
         boolean tenants = !told.current().tenants().isEmpty();
         String tenant = one(request, "X-Org", tenants);
-        int tenantIndex = tenants ? known(told.tenantIndex(tenant), "X-Org") : -1;
+        int tenantIndex = tenants ? known(told.tenantIndex(tenant, now), "X-Org") : -1;
         long patience = 1000 * wait(one(request, "X-Remaining-Ms", true));
         RequestClass c = told.classes().get(classIndex);
         if (!request.getMethod().equals(c.effect() == Effect.REPEATABLE ? "GET" : "POST")) {
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -215,14 +215,10 @@
     }
 
     private void guardDeadline(Exchange exchange) {
-        long due = Math.min(exchange.deadline(), staff.presence().answersBy(this::longestDeadline));
+        long due = Math.min(exchange.deadline(), staff.presence().answersBy(succession::longestDeadline));
         deadlines.put(exchange.id, queue.after(Math.max(ANSWER_MARGIN, due - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
     }
 
-    private long longestDeadline() {
-        return succession.classes().stream().mapToLong(Balancer.RequestClass::deadline).max().orElse(0);
-    }
-
     /**
      * Until when a further dispatch of the session may leave: servers drop a repeat only for a while from the first dispatch that
      * may have run, and it takes a moment to be written.
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -66,6 +66,11 @@
     /** Reads the file that takes over from this one, under load: what this one has, it must have too. */
     public Configuration readNext(Path file) throws SettingsException {
         Configuration next = read(file);
+        // Its servers, and all that was learnt and put out by hand, are of the tier it began with.
+        if (next.settings.tier() != settings.tier()) {
+            throw new SettingsException(Code.RELOAD, file.toString(), "settings.layer is " + next.settings.tier() + ", but the running balancer's tier is "
+                + settings.tier() + ": another tier needs a restart");
+        }
         Set<String> missing = next.document.missing(document);
         if (!missing.isEmpty()) {
             throw new SettingsException(Code.RELOAD, file.toString(), "lacks what the running one has: " + String.join(", ", missing));
--- a/balancer/src/test/java/calicochute/process/RestartTest.java
+++ b/balancer/src/test/java/calicochute/process/RestartTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -66,6 +67,29 @@
         }
     }
 
+    /**
+     * The platform ends a process by the deadlines of its newest settings. Those of the start, longer here, would leave this session to its own time,
+     * past that end.
+     */
+    @Test
+    public void aStopGoesByTheDeadlinesInForce() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "too late");
+        };
+        Files.writeString(program.config, Files.readString(program.config).replace("\"deadline\":9000000", "\"deadline\":1000000"));
+        program.signal("HUP");
+        await("taken", () -> program.counter("reloads") == 1);
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write(Http.message(session(String.format("%016x", 1), "order").replace(": 8000", ": 2600"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            program.process.destroy();
+            assertEquals(502, Http.read(socket.getInputStream()).status());
+        }
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 1"));
+    }
+
     /**
      * From SIGTERM to the process's end each request has its whole answer, and each connection in steady use ends behind an
      * answer that says so: none crosses a request.
--- a/balancer/src/test/java/calicochute/process/ServeTest.java
+++ b/balancer/src/test/java/calicochute/process/ServeTest.java
@@ -337,7 +337,7 @@
                 .replace("\"name\":\"scan\"", "\"name\":\"sheet\"");
             int bad = 0;
             for (String text : new String[] {"", changed.substring(0, changed.length() - 1),
-                changed.replace("\"tick\":5000,", ""), changed.replace("\"max_attempts\":3", "\"max_attempts\":0")}) {
+                changed.replace("\"tick\":5000,", ""), changed.replace("\"layer\":0", "\"layer\":1"), changed.replace("\"max_attempts\":3", "\"max_attempts\":0")}) {
                 Files.writeString(program.config, text);
                 program.signal("HUP");
                 int expected = ++bad;
--- a/balancer/src/test/java/calicochute/settings/SuccessionTest.java
+++ b/balancer/src/test/java/calicochute/settings/SuccessionTest.java
@@ -66,12 +66,35 @@
         assertEquals(1, third.next(settings(List.of(cls("b", Effect.KEYED))), 300).classIndex("b", 1L << 60));
     }
 
+    /** Like a class: refused after the grace, as it would be after a restart, and let in again under its old index. */
+    @Test
+    void aDroppedTenantIsTakenForAWhile() throws SettingsException {
+        Succession first = Succession.of(settings(List.of(cls("a", Effect.ONCE)), "s", "t"));
+        Succession next = first.next(settings(List.of(cls("a", Effect.ONCE)), "t"), 100);
+        assertEquals(0, next.tenantIndex("s", 100 + Succession.GRACE - 1));
+        assertEquals(-1, next.tenantIndex("s", 100 + Succession.GRACE));
+        Succession third = next.next(settings(List.of(cls("a", Effect.ONCE)), "t"), 200);
+        assertEquals(-1, third.tenantIndex("s", 100 + Succession.GRACE), "a further file gives no further grace");
+        assertEquals(0, third.next(settings(List.of(cls("a", Effect.ONCE)), "t", "s"), 300).tenantIndex("s", 1L << 60));
+    }
+
+    /** What the platform goes by when it ends a process: not a longer deadline that the file no longer has. */
+    @Test
+    void theLongestDeadlineIsOneInForce() throws SettingsException {
+        RequestClass slow = new RequestClass("slow", Effect.ONCE, KeyScope.ALL, 1, 1, 900, 1, 0, false);
+        RequestClass quick = new RequestClass("slow", Effect.ONCE, KeyScope.ALL, 1, 1, 7, 1, 0, false);
+        Succession first = Succession.of(settings(List.of(slow, cls("a", Effect.ONCE))));
+        assertEquals(900, first.longestDeadline());
+        assertEquals(7, first.next(settings(List.of(quick, cls("a", Effect.ONCE))), 0).longestDeadline());
+        assertEquals(1, first.next(settings(List.of(cls("a", Effect.ONCE))), 0).longestDeadline());
+    }
+
     @Test
     void aTenantKeepsItsIndex() throws SettingsException {
         Succession next = Succession.of(settings(List.of(cls("a", Effect.ONCE)), "s", "t"))
             .next(settings(List.of(cls("a", Effect.ONCE)), "t", "u"), 0);
-        assertEquals(1, next.tenantIndex("t"));
-        assertEquals(2, next.tenantIndex("u"));
+        assertEquals(1, next.tenantIndex("t", 0));
+        assertEquals(2, next.tenantIndex("u", 0));
         assertEquals(3, next.forModule().tenants().size());
     }
 }
