A crowd of idle clients leaves descriptors to others; who asks is not the one to go

Seen, on the program as it was: with room for 16 clients and a crowd that connects and says nothing, a client that connects next and asks is closed with no answer (whoAsksIsServedInACrowd: EOF in the first rounds): Frontend.leastNeeded ended the newcomer unless another had been silent for 0.25 s or idle for 2 s. It also took the head of a first request for silence, and ended it. A crowd of 600 at the real limit of 160 descriptors: the program did not end within 30 s of its SIGTERM (aCrowdLeavesTheOthersTheirDescriptors; where the test failed first was masked by that and not looked into): Listening.accept ran ahead of the I/O thread without a bound (in its test 20 open where 5 may be), so that what is set aside was used up. Ruled out: the shares of Bounds themselves; they hold with accepting bounded.

Change: ClientConnection.Need ranks connections, the least needed goes; lingering ones first; none with unread bytes. Listening gives places, back once the socket is closed; AHEAD more than there is room for, out of what is set aside.

Restart, Admin, ClientGone, BadClient and UpgradeTest: 29 passed, once.

--- a/balancer/src/main/java/calicochute/admin/AdminServer.java
+++ b/balancer/src/main/java/calicochute/admin/AdminServer.java
@@ -26,8 +26,8 @@
     /** Starts to listen and returns the address in use. */
     public InetSocketAddress start(InetSocketAddress address) throws IOException {
         Callback<Exception> onFault = e -> Log.info("admin-connection", String.valueOf(e.getMessage()));
-        return Listening.at(address, BACKLOG, "admin", (session, attachment) -> AdminConnection.on(session, this, onFault),
-            onFault, counters).start();
+        return Listening.at(address, BACKLOG, Bounds.ADMIN_CONNECTIONS + Bounds.AHEAD, "admin",
+            (session, attachment) -> AdminConnection.on(session, this, onFault), onFault, counters).start();
     }
 
     Operations operations() {
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -53,6 +53,9 @@
     private static final long UNREAD_MS = 15_000;
     /** A connection with no request open is kept this long. */
     private static final long IDLE_MS = 10_000;
+    /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
+    private static final long SILENT_MS = 250;
+    private static final long RESTING_MS = 2000;
     /** An answer just given is still on its way out. */
     private static final long SETTLE_MS = 50;
     /** What has had its last answer is ended this much later, if the client has not done so. */
@@ -170,7 +173,26 @@
         }
     }
 
+    /** How much a connection is needed where room is short, the least first. */
+    enum Need {
+        /** Shut down, and held open for what its client may still send. */
+        SHUT,
+        /** Nothing came for a while. */
+        SILENT,
+        /** Its last answer is long over. */
+        RESTING,
+        /** Its last answer is over. */
+        ANSWERED,
+        /** Just accepted. */
+        NEW,
+        /** Half a head has come, and not its end for a while. */
+        HALF,
+        /** An answer, or what has begun to come is waited for. */
+        OWED
+    }
+
     private final State state;
+    private LingeringSession ending;
     private boolean spoilt;
 
     private ClientConnection(State state, Callback<Exception> onFault) {
@@ -197,6 +219,7 @@
 
     @Override
     public void connected(IOSession session) throws IOException {
+        ending = (LingeringSession) session;
         super.connected(session);
         state.frontend.opened(this);
     }
@@ -292,7 +315,7 @@
     }
 
     /** Guards against a request that crosses the connection's end: true if bytes have come that were not read yet. */
-    private boolean bytesWait() {
+    boolean bytesWait() {
         try {
             return ((SocketChannel) state.session.channel()).socket().getInputStream().available() > 0;
         } catch (IOException | IllegalBlockingModeException e) {
@@ -302,14 +325,28 @@
 
     /** Asks the I/O thread to end it if nothing is asked or owed on it; any thread may call. */
     void endIfIdle() {
-        if (idleMs() >= SETTLE_MS || silentMs() >= Frontend.SILENT_MS) {
+        Need need = need();
+        if (need != Need.SHUT && need.compareTo(Need.NEW) < 0) {
             state.session.setSocketTimeout(Timeout.ONE_MILLISECOND);
         }
     }
 
-    /** No request has come whole since it was opened, and for how long; negative otherwise. */
-    long silentMs() {
-        return state.receiving && state.latest == null ? state.ageMs() : -1;
+    Need need() {
+        if (ending.lingers()) {
+            return Need.SHUT;
+        }
+        if (state.receiving && !state.owesAnswer() && (state.latest == null || state.headMs() > 0)) {
+            boolean young = state.ageMs() < SILENT_MS;
+            return state.heard ? young ? Need.OWED : Need.HALF : young ? Need.NEW : Need.SILENT;
+        }
+        long idle = idleMs();
+        return idle >= RESTING_MS ? Need.RESTING : idle >= SETTLE_MS ? Need.ANSWERED : Need.OWED;
+    }
+
+    /** Ends it for another one, which needs its descriptor now. */
+    void makeRoom() {
+        state.frontend.counters().count(Counter.CLIENTS_CLOSED_FOR_ROOM);
+        ending.closeNow();
     }
 
     /** How long nothing was asked or owed on it; negative while something is. */
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -7,6 +7,7 @@
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
 import calicochute.presence.Presence;
+import calicochute.settings.Bounds;
 import calicochute.settings.Configuration;
 import calicochute.settings.Succession;
 import java.io.IOException;
@@ -23,9 +24,6 @@
 public final class Frontend implements AutoCloseable {
     private static final String READY = "/ready";
     private static final String COUNTERS = "/counters";
-    /** A client that has connected speaks at once; one that has had its answer may pause for a while. */
-    static final long SILENT_MS = 250;
-    private static final long IDLE_MS = 2000;
     private static final int BACKLOG = 1024;
     private final SessionReader reader;
     private final DecisionQueue clock;
@@ -61,8 +59,8 @@
     /** Starts to listen and returns the address in use. */
     public InetSocketAddress start() throws IOException {
         IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
-        listening = inherited == null ? Listening.at(address, BACKLOG, "frontend", handlers, onFault, counters)
-            : Listening.on(inherited, "frontend", handlers, onFault, counters);
+        listening = inherited == null ? Listening.at(address, BACKLOG, room + Bounds.AHEAD, "frontend", handlers, onFault, counters)
+            : Listening.on(inherited, room + Bounds.AHEAD, "frontend", handlers, onFault, counters);
         return listening.start();
     }
 
@@ -117,7 +115,7 @@
         connections.add(connection);
         connected = connections.size();
         if (connected > room) {
-            leastNeeded(connection).close(Counter.CLIENTS_CLOSED_FOR_ROOM);
+            leastNeeded(connection).makeRoom();
         }
     }
 
@@ -127,20 +125,23 @@
     }
 
     /**
-     * Guards against descriptors running out, with which accepting would end for good: the client that has said
-     * nothing for the longest time, else the one idle longest, else the newcomer; never one that is owed an answer.
+     * Guards against descriptors running out: the one least needed, of equal ones the one that has been so the longest, else
+     * the newcomer; never one that is owed an answer.
      */
     private ClientConnection leastNeeded(ClientConnection newcomer) {
-        ClientConnection idle = null;
+        ClientConnection least = newcomer;
+        ClientConnection.Need need = ClientConnection.Need.OWED;
         for (ClientConnection connection : connections) {
-            if (connection.silentMs() >= SILENT_MS) {
-                return connection;
-            }
-            if (connection.idleMs() >= IDLE_MS && (idle == null || connection.idleMs() > idle.idleMs())) {
-                idle = connection;
+            ClientConnection.Need other = connection == newcomer ? ClientConnection.Need.OWED : connection.need();
+            // Bytes that wait are half a request as well: looked for only where it matters.
+            boolean less = other == need ? need != ClientConnection.Need.OWED && connection.idleMs() > least.idleMs()
+                : other.compareTo(need) < 0;
+            if (less && (other == ClientConnection.Need.SHUT || !connection.bytesWait())) {
+                least = connection;
+                need = other;
             }
         }
-        return idle == null ? newcomer : idle;
+        return least;
     }
 
     public int connected() {
--- a/balancer/src/main/java/calicochute/listening/LingeringSession.java
+++ b/balancer/src/main/java/calicochute/listening/LingeringSession.java
@@ -78,6 +78,12 @@
         }
     }
 
+    /** Ends it without waiting for the peer: its descriptor is needed. */
+    public void closeNow() {
+        end.closed();
+        session.close(CloseMode.GRACEFUL);
+    }
+
     /** The I/O thread's part behind the shutdown. */
     private final class Lingering implements IOEventHandler {
         private final IOEventHandler before;
--- a/balancer/src/main/java/calicochute/listening/Listening.java
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -11,6 +11,8 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
@@ -19,6 +21,8 @@
 import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.util.TimeValue;
 
 /**
@@ -40,33 +44,37 @@
     private final Counters counters;
     private final DefaultConnectingIOReactor reactor;
     private final Selector selector;
+    /** For connections, until their socket is closed: accepting is faster than taking over, and would use up what is set aside. */
+    private final Semaphore places;
     private Thread acceptor;
     private volatile boolean stopped;
 
-    private Listening(ServerSocketChannel socket, boolean own, String name, IOEventHandlerFactory handlers,
+    private Listening(ServerSocketChannel socket, boolean own, int most, String name, IOEventHandlerFactory handlers,
                       Callback<Exception> onFault, Counters counters) throws IOException {
         this.socket = socket;
         this.own = own;
         this.name = name;
+        places = new Semaphore(most);
         this.counters = counters;
         ByteBuffer scratch = ByteBuffer.allocate(SCRATCH);
         reactor = new DefaultConnectingIOReactor(handlers, REACTOR, new DefaultThreadFactory(name + "-io", true),
-            session -> new LingeringSession(session, scratch), onFault, null, ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
+            session -> new LingeringSession(session, scratch), onFault, new Ended(), ShutdownCommand.GRACEFUL_NORMAL_CALLBACK);
         selector = Selector.open();
     }
 
     /**
      * Binds an address; so many connections may wait there to be taken in.
      *
+     * @param most connections that there may be at once, those included that the handlers have yet to hear of
      * @param name of the threads
      */
-    public static Listening at(InetSocketAddress address, int backlog, String name, IOEventHandlerFactory handlers,
-                               Callback<Exception> onFault, Counters counters) throws IOException {
+    public static Listening at(InetSocketAddress address, int backlog, int most, String name,
+                               IOEventHandlerFactory handlers, Callback<Exception> onFault, Counters counters) throws IOException {
         ServerSocketChannel socket = ServerSocketChannel.open();
         try {
             socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             socket.bind(address, backlog);
-            return new Listening(socket, true, name, handlers, onFault, counters);
+            return new Listening(socket, true, most, name, handlers, onFault, counters);
         } catch (IOException e) {
             socket.close();
             throw new AddressException(address, e);
@@ -74,9 +82,9 @@
     }
 
     /** Takes over a socket that listens already. */
-    public static Listening on(ServerSocketChannel inherited, String name, IOEventHandlerFactory handlers,
+    public static Listening on(ServerSocketChannel inherited, int most, String name, IOEventHandlerFactory handlers,
                                Callback<Exception> onFault, Counters counters) throws IOException {
-        return new Listening(inherited, false, name, handlers, onFault, counters);
+        return new Listening(inherited, false, most, name, handlers, onFault, counters);
     }
 
     /** Accepts from now on; returns the address in use. */
@@ -94,10 +102,11 @@
             try {
                 selector.select();
                 selector.selectedKeys().clear();
-                for (SocketChannel next = stopped ? null : socket.accept(); next != null;
-                     next = stopped ? null : socket.accept()) {
-                    ChannelBridge.adopt(reactor, next);
+                while (!stopped && takeIn()) {
+                    // All that has come up, as places get free.
                 }
+            } catch (InterruptedException e) {
+                stopped = true;
             } catch (IOException | IllegalStateException e) {
                 // Guards against a moment without descriptors: what waits in the socket's queue waits a little longer.
                 counters.count(Counter.ACCEPTOR_WAITS);
@@ -108,6 +117,25 @@
         end();
     }
 
+    /** Takes in the next connection, or waits a while for a place; false if none has come up. */
+    private boolean takeIn() throws IOException, InterruptedException {
+        if (!places.tryAcquire(PAUSE_MS, TimeUnit.MILLISECONDS)) {
+            return true;
+        }
+        SocketChannel next = null;
+        try {
+            next = socket.accept();
+        } finally {
+            if (next == null) {
+                places.release();
+            }
+        }
+        if (next != null) {
+            ChannelBridge.adopt(reactor, next);
+        }
+        return next != null;
+    }
+
     private void end() {
         try {
             // The selector first: a socket that is still registered would go on listening.
@@ -140,6 +168,38 @@
         acceptor.join(LONGEST_STOP_MS);
     }
 
+    /** Hears of each socket's close, once. */
+    private final class Ended implements IOSessionListener {
+        @Override
+        public void disconnected(IOSession session) {
+            places.release();
+        }
+
+        @Override
+        public void connected(IOSession session) {
+        }
+
+        @Override
+        public void startTls(IOSession session) {
+        }
+
+        @Override
+        public void inputReady(IOSession session) {
+        }
+
+        @Override
+        public void outputReady(IOSession session) {
+        }
+
+        @Override
+        public void timeout(IOSession session) {
+        }
+
+        @Override
+        public void exception(IOSession session, Exception cause) {
+        }
+    }
+
     /** Ends all connections. */
     public void close() {
         reactor.close(CloseMode.GRACEFUL);
--- a/balancer/src/main/java/calicochute/settings/Bounds.java
+++ b/balancer/src/main/java/calicochute/settings/Bounds.java
@@ -21,6 +21,8 @@
     private static final int LEAST_WINDOW = 8192;
     /** Connections to the second address, for its staff and those who only sit on them. */
     public static final int ADMIN_CONNECTIONS = 32;
+    /** Connections that either acceptor takes in beyond what there is room for, before another one is ended: of what is set aside. */
+    public static final int AHEAD = 8;
     /** What the second address needs beside its connections: its selectors and its listener. */
     private static final int ADMIN_OWN = 8;
     private static final int SET_ASIDE = 48;
--- a/balancer/src/test/java/calicochute/listening/LingeringSessionTest.java
+++ b/balancer/src/test/java/calicochute/listening/LingeringSessionTest.java
@@ -32,7 +32,7 @@
 
     @Before
     public void connect() throws Exception {
-        listening = Listening.at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10, "test",
+        listening = Listening.at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10, 10, "test",
             (opened, attachment) -> deaf, e -> { }, new Counters());
         client = SocketChannel.open(listening.start());
         session = deaf.opened.get(5, TimeUnit.SECONDS);
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -239,4 +239,44 @@
             socket.close();
         }
     }
+
+    /** In a crowd that has just connected and says nothing, whoever asks is served: not the newcomer makes way, but the crowd. */
+    @Test
+    public void whoAsksIsServedInACrowd() throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        for (int round = 0; round < 20; round++) {
+            for (int i = 0; i < 20; i++) {
+                crowd.add(program.connect());
+            }
+            assertEquals(200, program.send(session(String.format("%016x", round), "view")).status());
+        }
+        assertEquals(0, program.counter("acceptor_waits"));
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+    }
+
+    /** Idle clients by the hundred at both addresses, at the real limit: all else still gets its descriptors. */
+    @Test
+    public void aCrowdLeavesTheOthersTheirDescriptors() throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        Program limited = Program.limited(160, discovery, server);
+        try {
+            discovery.script = r -> Http.answer(200, "", Program.list(2, "Ready", server));
+            for (int i = 0; i < 600; i++) {
+                crowd.add(i % 3 == 0 ? new Socket(InetAddress.getLoopbackAddress(), limited.admin) : limited.connect());
+            }
+            int calls = discovery.requests.size();
+            assertEquals("a connection to a backend server", 200, limited.send(session(ID, "view")).status());
+            assertEquals("the second address", 200, limited.admin("GET health", "").status());
+            await("discovery is asked", () -> discovery.requests.size() > calls);
+            assertEquals(limited.log(), 0, limited.counter("acceptor_waits"));
+            assertTrue(limited.log(), !limited.log().contains("Too many open files"));
+        } finally {
+            limited.stop();
+        }
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+    }
 }
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -70,6 +70,11 @@
         return new Program("ulimit -n " + descriptors + "; ", 1024, freePort(), discovery, addresses(servers));
     }
 
+    /** With a second address, and as many descriptors as its configuration promises. */
+    static Program limited(int descriptors, Peer discovery, Peer... servers) throws Exception {
+        return new Program("ulimit -n " + descriptors + "; ", descriptors, freePort(), discovery, addresses(servers));
+    }
+
     /** With a second address and no larger heap. */
     static Program withHeap(String heap, Peer discovery, Peer... servers) throws Exception {
         return new Program("export JAVA_TOOL_OPTIONS=-Xmx" + heap + "; ", 1024, freePort(), discovery, addresses(servers));
