A late connection is kept, and a second tried beside it; what waits takes what comes free

Cause: a dispatch that found no free connection opened one and failed at connect_timeout if that was late; the handshake was thrown away and the next dispatch began another. Of connections a third of which is late, a third of the dispatches that needed one failed, each at the price of a retry token. Lines: Errand.begin. A connection lent to a call that never began (its client gone, its time over) was closed though nothing was wrong with it: Errand.end. Ruled out as a better way: waiting longer (the session's time), two connections from the start (twice the handshakes), none kept.

Change: what waits for a server stands in line (BackendServer.waiting) and the first connection there is serves the first, its own, another's, or one given back. After half of connect_timeout a second is opened beside the first, in the room of spares only. One that is late is kept 2 s more (Opening), two to a server, given up first where descriptors run short, and goes to what waits or to the pool. A connection whose call never began serves the next. Counters connections_tried_again, connections_late. An upload that stands still stays watched after its connection was closed.

Measured: BackendServersTest, three new tests and five cases, each seen to fail: without the keeping, the second, the line's taking what comes free, the giving up for room, the reuse of what was not begun.

--- a/balancer/src/main/java/calicochute/backend/Connections.java
+++ b/balancer/src/main/java/calicochute/backend/Connections.java
@@ -18,6 +18,8 @@
     private static final double SPARE_ROOM = 0.5;
     /** How long no connections are kept for a server that ended one early. */
     private static final long WARY = 20_000_000;
+    /** So many that are late may still come up to one server: one that is silent gets no more. */
+    static final int MOST_LATE = 2;
     final DecisionQueue queue;
     final Counters counters;
     private final Connector connector;
@@ -45,15 +47,81 @@
 
     /** Whether there is room for one more connection, if need be by closing an idle one. */
     boolean makeRoom() {
-        return open.size() < room || closeIdlest();
+        return open.size() < room || giveUpLate() || closeIdlest();
+    }
+
+    /** Opens a connection for those that wait at a server, if more wait than are on their way; false if there is no room. */
+    boolean openFor(BackendServer server) {
+        if (server.wantsOpening()) {
+            if (!makeRoom()) {
+                return false;
+            }
+            new Opening(this, server).begin();
+        }
+        return true;
+    }
+
+    /**
+     * One has waited for half of its time: opens a second connection beside the first, where that may help. Nothing has been sent,
+     * so this is no second dispatch; whichever comes up first serves it, and the other one is kept.
+     */
+    void openSecond(BackendServer server) {
+        if (server.lateOpenings() < MOST_LATE && open.size() < room * SPARE_ROOM) {
+            counters.count(Counter.CONNECTIONS_TRIED_AGAIN);
+            new Opening(this, server).begin();
+        }
+    }
+
+    /** A connection that somebody may wait for has come up. */
+    void cameUp(BackendServer server, Connection connection) {
+        Errand first = server.waiting.poll();
+        if (first != null) {
+            first.opened(connection);
+        } else if (server.keeps(queue.now())) {
+            server.pool.add(connection, queue.now());
+        } else {
+            connection.close();
+        }
+    }
+
+    /** It was lent to a call that has not begun. */
+    void unused(BackendServer server, Connection connection, boolean served) {
+        if (served) {
+            give(server, connection);
+        } else {
+            cameUp(server, connection);
+        }
+    }
+
+    /** A call is over and its connection may serve another. */
+    void give(BackendServer server, Connection connection) {
+        server.pool.give(connection, queue.now());
+        serveWaiting(server);
+    }
+
+    /** Whoever waits for a connection of its own takes a free one that is there before it. */
+    void serveWaiting(BackendServer server) {
+        Pool.Lent<Connection> lent = server.waiting.isEmpty() ? null : server.pool.take(queue.now());
+        if (lent != null) {
+            server.waiting.poll().lent(lent);
+        }
+    }
+
+    /** Gives up a connection that is late, whichever server it goes to; false if none is. */
+    private boolean giveUpLate() {
+        Opening late = servers.get().stream().flatMap(s -> s.openings.stream()).filter(Opening::late).findFirst().orElse(null);
+        if (late != null) {
+            late.giveUp();
+        }
+        return late != null;
     }
 
     /** Opens a connection, which counts until it has ended; both callbacks come on the decision thread. */
-    Connection open(BackendServer server, Consumer<Connection> opened, Runnable failed) {
+    Connection open(BackendServer server, long timeout, Consumer<Connection> opened, Runnable failed) {
         Object one = new Object();
         open.add(one);
         counters.count(Counter.CONNECTIONS_OPENED);
-        return connector.open(server.address, connectTimeout, c -> queue.post(() -> opened.accept(c)),
+        return connector.open(server.address, timeout, c -> queue.post(() -> opened.accept(c)),
             e -> queue.post(() -> {
                 open.remove(one);
                 failed.run();
@@ -72,9 +140,9 @@
             }));
     }
 
-    /** Opens a connection ahead if the server's pool wants one; nobody waits for it. */
+    /** Opens a connection ahead if the server's pool wants one and none is on its way; nobody waits for it. */
     void openSpare(BackendServer server) {
-        if (!server.keeps(queue.now()) || open.size() >= room * SPARE_ROOM
+        if (!server.openings.isEmpty() || !server.keeps(queue.now()) || open.size() >= room * SPARE_ROOM
             || !server.pool.claimSpare(queue.now())) {
             return;
         }
--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -40,6 +40,9 @@
     private Pace pace;
     private boolean wrote;
     private Connection connection;
+    /** Its connection has served before, or has been free. */
+    private boolean served;
+    private boolean called;
     private DecisionQueue.Alarm timeout;
     private DecisionQueue.Alarm connecting;
     private long calledAt;
@@ -92,11 +95,10 @@
             if (streamed.pipe().held() > 0 && streamed.pipe().stillFor() >= (progress.waiting() ? patience : UPLOAD_STILL)) {
                 if (progress.waiting()) {
                     end(progress.unconnected(), null);
-                } else {
-                    // The connection's end tells whether the last byte left just now.
-                    connection.close();
+                    return;
                 }
-                return;
+                // The connection's end tells whether the last byte left just now.
+                connection.close();
             }
         } else if (answer != null && !pace.holds(queue.now(), answer.put(), answer.held() == 0)) {
             counters.count(Counter.ANSWERS_CUT);
@@ -136,30 +138,53 @@
     private void begin() {
         Pool.Lent<Connection> lent = server.pool.take(queue.now());
         if (lent != null) {
-            connection = lent.connection();
-            if (lent.rest() > 0) {
-                counters.count(Counter.CONNECTIONS_WAITED_FOR);
-                queue.after(lent.rest(), () -> connected(true));
-                connections.openSpare(server);
-            } else {
-                connected(true);
-            }
+            lent(lent);
             return;
         }
-        if (!connections.makeRoom()) {
+        server.waiting.add(this);
+        if (!connections.openFor(server)) {
             // Guards against descriptors running out: nothing was sent, as if the server could not be reached.
-            end(progress.unconnected(), null);
+            unconnected();
             return;
         }
         // A connection that never comes up is never answered by the network: only this alarm ends the wait.
-        connecting = queue.after(connections.connectTimeout(), () -> end(progress.unconnected(), null));
-        connection = connections.open(server, c -> opened(), () -> end(progress.unconnected(), null));
+        long time = connections.connectTimeout();
+        connecting = queue.after(time / 2, () -> {
+            connections.openSecond(server);
+            connecting = queue.after(time - time / 2, this::unconnected);
+        });
+    }
+
+    /** A connection that has served is there for it, though it may have to rest a little. */
+    void lent(Pool.Lent<Connection> lent) {
+        waitsNoMore();
+        connection = lent.connection();
+        served = true;
+        if (lent.rest() > 0) {
+            counters.count(Counter.CONNECTIONS_WAITED_FOR);
+            queue.after(lent.rest(), () -> connected(true));
+            connections.openSpare(server);
+        } else {
+            connected(true);
+        }
+    }
+
+    /** A new connection is there for it. */
+    void opened(Connection fresh) {
+        waitsNoMore();
+        connection = fresh;
+        served = false;
+        queue.after(FRESH, () -> connected(false));
     }
 
-    private void opened() {
-        if (progress.waiting()) {
+    void unconnected() {
+        end(progress.unconnected(), null);
+    }
+
+    private void waitsNoMore() {
+        server.waiting.remove(this);
+        if (connecting != null) {
             connecting.cancel();
-            queue.after(FRESH, () -> connected(false));
         }
     }
 
@@ -189,6 +214,7 @@
             counters.count(Counter.CONNECTIONS_REUSED);
         }
         calledAt = now;
+        called = true;
         if (body instanceof Body.Whole) {
             // The wait for the connection is over, and out of the time that is left.
             request.setHeader(BackendServers.TIME_LEFT, Long.toString(Math.max(1, (due() - now) / 1000)));
@@ -223,12 +249,14 @@
             connections.endedEarly(server);
         }
         if (reply.reusable() && server.keeps(queue.now())) {
-            server.pool.give(connection, queue.now());
+            connections.give(server, connection);
             connection = null;
         }
         Progress.Step step = progress.replied(outcome(reply), nothingSent);
         if (step == Progress.Step.FIND_CONNECTION) {
             connection.close();
+            connection = null;
+            called = false;
             begin();
         } else {
             end(step, reply);
@@ -256,10 +284,10 @@
         if (timeout != null) {
             timeout.cancel();
         }
-        if (connecting != null) {
-            connecting.cancel();
-        }
-        if (connection != null) {
+        waitsNoMore();
+        if (connection != null && !called && connection.open() && server.keeps(queue.now()) && !server.unwanted) {
+            connections.unused(server, connection, served);
+        } else if (connection != null) {
             connection.close();
         }
         if (starting) {
--- a/balancer/src/main/java/calicochute/backend/Spare.java
+++ b/balancer/src/main/java/calicochute/backend/Spare.java
@@ -20,7 +20,7 @@
     void begin() {
         connections.counters.count(Counter.SPARES_OPENED);
         never = connections.queue.after(connections.connectTimeout(), () -> end(false));
-        connection = connections.open(server, c -> end(true), () -> end(false));
+        connection = connections.open(server, connections.connectTimeout(), c -> end(true), () -> end(false));
     }
 
     private void end(boolean up) {
@@ -31,6 +31,7 @@
         never.cancel();
         if (up && server.keeps(connections.queue.now())) {
             server.pool.spareOpened(connection, connections.queue.now());
+            connections.serveWaiting(server);
         } else {
             connections.counters.count(Counter.SPARES_FAILED);
             server.pool.spareFailed(connections.queue.now());
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -2,6 +2,7 @@
 
 import calicochute.exchange.Body;
 import calicochute.settings.Bounds;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
@@ -15,6 +16,7 @@
 public final class Connection {
     /** Told on an I/O thread when the connection has ended, by whichever side. */
     private final Consumer<Connection> onClosed;
+    private volatile Future<IOSession> opening;
     private volatile IOSession session;
     private volatile boolean closed;
     private volatile boolean awaitsAnswer;
@@ -25,6 +27,10 @@
         this.onClosed = onClosed;
     }
 
+    void opening(Future<IOSession> request) {
+        opening = request;
+    }
+
     void opened(IOSession opened) {
         session = opened;
         if (closed) {
@@ -87,6 +93,12 @@
         return spoilt;
     }
 
+    /** Stops waiting for it to come up, which is told as a failure. */
+    public void giveUp() {
+        close();
+        opening.cancel(true);
+    }
+
     public void close() {
         closed = true;
         IOSession open = session;
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -60,7 +60,7 @@
         Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000));
         // With its text for a name: HttpHost would ask the system for the address's name, which can take seconds.
         HttpHost host = new HttpHost(null, address.getAddress(), address.getHostString(), address.getPort());
-        reactor.connect(host, address, null, timeout, connection,
+        connection.opening(reactor.connect(host, address, null, timeout, connection,
             new FutureCallback<IOSession>() {
                 @Override
                 public void completed(IOSession session) {
@@ -77,7 +77,7 @@
                 public void cancelled() {
                     failed.accept(new IOException("cancelled"));
                 }
-            });
+            }));
         return connection;
     }
 
--- a/balancer/src/main/java/calicochute/pool/Pool.java
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -109,6 +109,11 @@
     /** The connection opened ahead has come up. */
     public void spareOpened(C connection, long now) {
         spareOpening = false;
+        add(connection, now);
+    }
+
+    /** A connection has come up that nobody waits for any more. */
+    public void add(C connection, long now) {
         free.addFirst(new Kept<>(connection, now, now + rules.freshRest, false));
     }
 
