A planned stop cuts a long answer whose server hangs, before the kill finds it

Seen: a server gives the head and 1,000 bytes of a long answer and hangs, SIGTERM comes: the answer is cut only when its server has been silent for 5 s (BackendServers.ANSWER_STILL; in the test answers_cut 1, sessions_ended_by_stop 0), later than SIGKILL, which comes 3.7 s after SIGTERM. Node.drain sets the end of what has no answer yet; a session whose answer has begun has no deadline any more. Ruled out: long bodies on their way in; they get their answer at their last byte, and without it they are not taken.

Change: Node.drain ends such answers at Presence.answersBy; the client can tell, the session counts as failed.

--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -388,6 +388,14 @@
 
     // ---- The end
 
+    /** Guards against an answer in pieces that the platform's kill would find unfinished: a server that hangs in its midst ends it here. */
+    private void cutAnswers() {
+        open.values().stream().filter(e -> e.passing() && e.latest().out()).toList().forEach(e -> {
+            counters.count(Counter.SESSIONS_ENDED_BY_STOP);
+            backend.cancel(e.latest());
+        });
+    }
+
     /** Accepts a little longer, unless another process does; answers everything taken, and returns. */
     public void drain() throws InterruptedException {
         CountDownLatch begun = new CountDownLatch(1);
@@ -397,6 +405,7 @@
                 dropDeadline(e);
                 guardDeadline(e);
             });
+            queue.after(staff.presence().answersBy(succession::longestDeadline) - queue.now(), this::cutAnswers);
             begun.countDown();
         });
         begun.await();
--- a/balancer/src/test/java/calicochute/process/PiecesTest.java
+++ b/balancer/src/test/java/calicochute/process/PiecesTest.java
@@ -166,6 +166,26 @@
         assertEquals(0, program.figure("pending"));
     }
 
+    /** A server that hangs in the midst of a long answer: a planned stop cuts it, where the client can tell, and leaves it to no kill. */
+    @Test
+    public void aStopEndsAnAnswerThatHangs() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Socket client = restartBefore(listener);
+            try (client; Socket socket = listener.accept()) {
+                Http.read(socket.getInputStream());
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().write(new byte[1000]);
+                assertEquals(1000, client.getInputStream().readNBytes(1000).length);
+                program.process.destroy();
+                assertTrue(client.getInputStream().readAllBytes().length < LONG);
+            }
+        }
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 1") && program.log().contains("answers_cut 0"));
+        assertTrue(program.log(), program.log().contains("drained unanswered=0"));
+    }
+
     /** A program whose one server listens there; a session of it is on its way when this returns. */
     private Socket restartBefore(ServerSocket listener) throws Exception {
         program.stop();
