A connection is busy until its answer is written: a stop ended it in between

Read: ClientConnection.idleMs and timeout took a connection for idle from the moment its answer was given on the decision thread (owesAnswer is false then) until the I/O thread had written it. Where the request was over 50 ms old Frontend.endIdle could end it just then, and shutting it for writing lost the answer; HttpCore's own close had written it mostly. Ruled out: the drain's wait (Node.drain), which counts sessions and connections. Change: State.busy, true until HttpCore releases the exchange of a request that has come whole; idle time and the end of idle connections go by it. A refused request whose rest is still coming is not busy: its linger ends it as before. The moment is not forced by a test of its own: the two threads can't be held there from outside.

--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -93,6 +93,15 @@
             return handler != null && handler.owesAnswer();
         }
 
+        /**
+         * True while a request that has come whole has not had the last byte of its answer. Guards against the end of idle
+         * connections that crosses an answer on its way to the I/O thread: it was given, and would be lost.
+         */
+        boolean busy() {
+            SessionHandler handler = latest;
+            return owesAnswer() || !receiving && handler != null && handler.unwritten();
+        }
+
         /** The head of a request has come: from here on its body's pace counts. */
         void headRead() {
             bodySince = System.nanoTime();
@@ -309,7 +318,7 @@
             // It does not read its answer, or has stopped in the middle of its body; ending the connection tells the session.
             state.frontend.counters().count(Counter.CLIENTS_CLOSED_SLOW);
             session.close(CloseMode.IMMEDIATE);
-        } else if (!state.owesAnswer()) {
+        } else if (!state.busy()) {
             close(state.receiving ? Counter.CLIENTS_CLOSED_SLOW : Counter.CLIENTS_CLOSED_IDLE);
         }
     }
@@ -351,7 +360,7 @@
 
     /** How long nothing was asked or owed on it; negative while something is. */
     long idleMs() {
-        return state.receiving || state.owesAnswer() ? -1 : System.currentTimeMillis() - state.session.getLastEventTime();
+        return state.receiving || state.busy() ? -1 : System.currentTimeMillis() - state.session.getLastEventTime();
     }
 
     void close(Counter why) {
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -51,6 +51,7 @@
     /** An answer in pieces has begun and its end has not been told. */
     private volatile boolean passing;
     private volatile boolean produced;
+    private volatile boolean released;
     private int cutRounds;
 
     SessionHandler(ClientConnection.State connection) {
@@ -279,8 +280,14 @@
         }
     }
 
+    /** True from the hand-over of a session, or an answer of our own, until HttpCore has written the answer's last byte. */
+    boolean unwritten() {
+        return (exchange != null || answering) && !released;
+    }
+
     @Override
     public void releaseResources() {
+        released = true;
         // Guards against an end that HttpCore tells in no other way.
         passed(produced);
     }
