Idle times of servers are learnt: one end no longer has every call open a connection

BackendServer.beWary kept no connection for 20 s once a server had ended one, so each dispatch paid a handshake, a third of which came too late, and retry tokens ran out. Logged idle times at those ends: one group from 210 to 480 ms, which is how long these servers keep connections, and one under 25 ms, which comes with the answer. Change: Pool learns the shortest idle time after which a server ended a connection (over 50 ms; for 20 s), and none is lent or kept past two thirds of it. Ends within 50 ms of an answer count as a share: over a half, and none is kept for 20 s as before. What this side ends for bytes out of turn is no evidence. BadServerTest's guard asserted that one end is enough for none to be kept: it goes on in BackendServersTest on a clock of its own, as strict: nothing near the idle time seen, and none after six ends in a row; the process test keeps that every session is served over a connection of its own and none is sent twice. Measured: PoolTest (2 new), BackendServersTest (2 new), BadServerTest pass.

--- a/balancer/src/main/java/calicochute/backend/BackendServer.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServer.java
@@ -21,20 +21,11 @@
     /** When it last started, as far as was told; 0 for long ago. */
     long startedAt;
 
-    /** Until then its connections serve one call each. */
-    private long waryUntil;
-
     BackendServer(InetSocketAddress address, Pool.Rules rules) {
         this.address = address;
         pool = new Pool<>(rules, Connection::open);
     }
 
-    /** It ended a connection that was kept for it: for a while none is kept, lest calls be written to ended ones. */
-    int beWary(long until) {
-        waryUntil = until;
-        return closeIdleSince(Long.MAX_VALUE);
-    }
-
     int lateOpenings() {
         return (int) openings.stream().filter(Opening::late).count();
     }
@@ -52,7 +43,7 @@
     }
 
     boolean keeps(long now) {
-        return !gone && now >= waryUntil;
+        return !gone && pool.keeps(now);
     }
 
     /** Closes those free since that time or longer; tells how many. */
--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -37,7 +37,11 @@
     /** Free connections to a server beyond which none is opened ahead, and how long none is after one that failed. */
     private static final int MOST_FREE = 16;
     private static final long SPARE_BAN = 20_000_000;
-    private static final Pool.Rules POOL = new Pool.Rules(Errand.FRESH, SETTLE, MOST_FREE, SPARE_BAN, LONG_SETTLE, CAUTION);
+    /** An end this soon after an answer is no idle time; and how long idle times of servers are remembered. */
+    private static final long WITH_ANSWER = 50_000;
+    private static final long IDLE_MEMORY = 20_000_000;
+    private static final Pool.Rules POOL =
+        new Pool.Rules(Errand.FRESH, SETTLE, MOST_FREE, SPARE_BAN, LONG_SETTLE, CAUTION, WITH_ANSWER, IDLE_MEMORY);
     static final String TIME_LEFT = "X-Remaining-Ms";
     /** Idle connections are looked at no more often. */
     private static final long SWEEP = 10_000;
--- a/balancer/src/main/java/calicochute/backend/Connections.java
+++ b/balancer/src/main/java/calicochute/backend/Connections.java
@@ -16,8 +16,6 @@
 final class Connections {
     /** Spares leave this part of the room to sessions. */
     private static final double SPARE_ROOM = 0.5;
-    /** How long no connections are kept for a server that ended one early. */
-    private static final long WARY = 20_000_000;
     /** So many that are late may still come up to one server: one that is silent gets no more. */
     static final int MOST_LATE = 2;
     final DecisionQueue queue;
@@ -99,9 +97,20 @@
         serveWaiting(server);
     }
 
+    /** Lends a free connection; null if there is none to be had. */
+    Pool.Lent<Connection> lend(BackendServer server) {
+        closeTooOld(server);
+        return server.pool.take(queue.now());
+    }
+
+    /** Guards against the next call's being written to a connection that its server ends just then. */
+    private void closeTooOld(BackendServer server) {
+        count(server.closeIdleSince(server.pool.tooOld(queue.now())));
+    }
+
     /** Whoever waits for a connection of its own takes a free one that is there before it. */
     void serveWaiting(BackendServer server) {
-        Pool.Lent<Connection> lent = server.waiting.isEmpty() ? null : server.pool.take(queue.now());
+        Pool.Lent<Connection> lent = server.waiting.isEmpty() ? null : lend(server);
         if (lent != null) {
             server.waiting.poll().lent(lent);
         }
@@ -127,13 +136,14 @@
                 failed.run();
             }), c -> queue.post(() -> {
                 open.remove(one);
-                Pool.Ended ended = server.pool.ended(c, queue.now());
+                Pool.Ended ended = server.pool.ended(c, !c.spoilt(), queue.now());
                 if (c.spoilt()) {
                     counters.count(Counter.CONNECTIONS_SPOILT);
                     server.pool.outOfTurn(queue.now());
                 }
                 if (ended == Pool.Ended.KEPT && !c.spoilt()) {
-                    endedEarly(server);
+                    counters.count(Counter.CONNECTIONS_ENDED_EARLY);
+                    closeTooOld(server);
                 } else if (ended == Pool.Ended.SPARE) {
                     counters.count(Counter.SPARES_FAILED);
                 }
@@ -164,10 +174,11 @@
         return idlest != null;
     }
 
-    /** Guards against the next call's being written to a connection that its server has ended. */
-    void endedEarly(BackendServer server) {
+    /** A connection that had been free for so long was ended before, or just as, a call was written to it. */
+    void endedEarly(BackendServer server, long idle) {
         counters.count(Counter.CONNECTIONS_ENDED_EARLY);
-        count(server.beWary(queue.now() + WARY));
+        server.pool.endedAfter(idle, queue.now());
+        closeTooOld(server);
     }
 
     void count(int closed) {
--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -40,8 +40,9 @@
     private Pace pace;
     private boolean wrote;
     private Connection connection;
-    /** Its connection has served before, or has been free. */
+    /** Its connection has served before, or has been free; and for how long it had been. */
     private boolean served;
+    private long idle;
     private boolean called;
     private DecisionQueue.Alarm timeout;
     private DecisionQueue.Alarm connecting;
@@ -136,7 +137,7 @@
     }
 
     private void begin() {
-        Pool.Lent<Connection> lent = server.pool.take(queue.now());
+        Pool.Lent<Connection> lent = connections.lend(server);
         if (lent != null) {
             lent(lent);
             return;
@@ -159,6 +160,7 @@
     void lent(Pool.Lent<Connection> lent) {
         waitsNoMore();
         connection = lent.connection();
+        idle = lent.idle();
         served = true;
         if (lent.rest() > 0) {
             counters.count(Counter.CONNECTIONS_WAITED_FOR);
@@ -246,7 +248,7 @@
         boolean nothingSent = reused && !reply.begun() && reply.response() == null;
         if (!nothingSent && reused && reply.response() == null && queue.now() < calledAt + AT_ONCE) {
             // It may have been ended before this call was written.
-            connections.endedEarly(server);
+            connections.endedEarly(server, idle);
         }
         if (reply.reusable() && server.keeps(queue.now())) {
             connections.give(server, connection);
--- a/balancer/src/main/java/calicochute/pool/Pool.java
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -19,9 +19,14 @@
  * more than what is left of a rest. Spares are bounded, one is opened at a time, and a server that ended one gets none
  * for a while.
  *
+ * <p>A server that ends idle connections earlier than was told shows by that how long it keeps them: for a while none is lent that
+ * has been free for two thirds of the shortest such time.
+ *
  * @param <C> the connection
  */
 public final class Pool<C> {
+    /** What one connection's fate counts in the share of those ended at once, and the share from which on none is kept. */
+    private static final double EACH = 1.0 / 8, MOST_AT_ONCE = 0.5;
     private final Rules rules;
     private final Predicate<C> open;
     /** The youngest first. */
@@ -30,6 +35,12 @@
     private boolean spareOpening;
     private long noSparesUntil = Long.MIN_VALUE;
     private long cautiousUntil = Long.MIN_VALUE;
+    /** Shortest idle time after which the server ended one lately, and until when that holds. */
+    private long shortestIdle;
+    private long learntUntil = Long.MIN_VALUE;
+    /** Share of the free ones that it ended right behind an answer, and until when none is kept for that. */
+    private double endedAtOnce;
+    private long noneUntil = Long.MIN_VALUE;
 
     /**
      * @param freshRest rest of a connection that has come up, in microseconds
@@ -38,12 +49,15 @@
      * @param spareBan for so long after a spare that failed none is opened, in microseconds
      * @param longRest rest after an answer of a server that sent something out of turn, in microseconds
      * @param caution how long that is remembered, in microseconds
+     * @param atOnce an end within this of an answer comes with the answer and tells of no idle time, in microseconds
+     * @param memory how long idle times are remembered, in microseconds
      */
-    public record Rules(long freshRest, long answerRest, int mostFree, long spareBan, long longRest, long caution) {
+    public record Rules(long freshRest, long answerRest, int mostFree, long spareBan, long longRest, long caution, long atOnce,
+                        long memory) {
     }
 
-    /** A connection lent to a call that may begin in {@code rest} microseconds. */
-    public record Lent<C>(C connection, long rest) {
+    /** A connection lent to a call that may begin in {@code rest} microseconds; it had been free for {@code idle}. */
+    public record Lent<C>(C connection, long rest, long idle) {
     }
 
     /** What the end of a connection says. */
@@ -74,7 +88,7 @@
                 i.remove();
             } else if (kept.restedAt <= now) {
                 i.remove();
-                return new Lent<>(kept.connection, 0);
+                return lend(kept, 0, now);
             } else if (soonest == null || kept.restedAt < soonest.restedAt) {
                 soonest = kept;
             }
@@ -84,7 +98,39 @@
         }
         free.remove(soonest);
         spareWanted = true;
-        return new Lent<>(soonest.connection, soonest.restedAt - now);
+        return lend(soonest, soonest.restedAt - now, now);
+    }
+
+    private Lent<C> lend(Kept<C> kept, long rest, long now) {
+        endedAtOnce -= endedAtOnce * EACH;
+        return new Lent<>(kept.connection, rest, now - kept.since);
+    }
+
+    /**
+     * The server ended one that had been free for so long, and that it had served on. From then on connections are kept for less, so
+     * that no call is written to one that ends just then; where most end right behind an answer none is kept for a while.
+     */
+    public void endedAfter(long idle, long now) {
+        if (idle >= rules.atOnce) {
+            shortestIdle = now < learntUntil ? Math.min(shortestIdle, idle) : idle;
+            learntUntil = now + rules.memory;
+            return;
+        }
+        endedAtOnce += (1 - endedAtOnce) * EACH;
+        if (endedAtOnce > MOST_AT_ONCE) {
+            endedAtOnce = 0;
+            noneUntil = now + rules.memory;
+        }
+    }
+
+    /** Those free since then or longer are not to be lent any more. */
+    public long tooOld(long now) {
+        return now < noneUntil ? Long.MAX_VALUE : now < learntUntil ? now - shortestIdle * 2 / 3 : Long.MIN_VALUE;
+    }
+
+    /** Whether connections are kept at all. */
+    public boolean keeps(long now) {
+        return now >= noneUntil;
     }
 
     /** A lent connection comes back after an answer. */
@@ -123,14 +169,16 @@
         noSparesUntil = now + rules.spareBan;
     }
 
-    /** The server ended a connection; it is lent no more. */
-    public Ended ended(C connection, long now) {
+    /** A connection has ended; it is lent no more. {@code byServer}: not by this side, for what came on it. */
+    public Ended ended(C connection, boolean byServer, long now) {
         for (Iterator<Kept<C>> i = free.iterator(); i.hasNext();) {
             Kept<C> kept = i.next();
             if (kept.connection == connection) {
                 i.remove();
                 if (!kept.used) {
                     noSparesUntil = now + rules.spareBan;
+                } else if (byServer) {
+                    endedAfter(now - kept.since, now);
                 }
                 return kept.used ? Ended.KEPT : Ended.SPARE;
             }
--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -216,6 +216,77 @@
         }
     }
 
+    /** Sends one more, over this connection or, if null, over a new one, which is returned; it is answered and the connection is free again. */
+    private Socket serve(BackendServers servers, ServerSocket listener, Socket kept) throws Exception {
+        int before = outcomes.size();
+        servers.send(dispatch(), 60_000_000);
+        Socket socket = kept;
+        if (kept == null) {
+            socket = listener.accept();
+            socket.setSoTimeout(30_000);
+            int sent = queue.alarms.size();
+            while (queue.alarms.size() == sent) {
+                runPosted();
+            }
+            queue.alarms.get(sent).run();
+        }
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        assertEquals("GET / HTTP/1.1", in.readLine());
+        in.readLine();
+        in.readLine();
+        socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        while (outcomes.size() == before) {
+            runPosted();
+        }
+        assertEquals(Outcome.OK, outcomes.get(before));
+        return socket;
+    }
+
+    private void endedBy(Socket socket, int early) throws Exception {
+        socket.close();
+        while (counters.get(Counter.CONNECTIONS_ENDED_EARLY) < early) {
+            runPosted();
+        }
+    }
+
+    /** A server ended an idle connection: the next call is not written to one that is nearly as old, but still to a younger one. */
+    @Test
+    void noCallIsWrittenToAConnectionAboutToEnd() throws Exception {
+        try (Connector connector = new Connector();
+             ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            connector.start();
+            listener.setSoTimeout(30_000);
+            BackendServers servers = servers(connector, listener.getLocalPort());
+            Socket first = serve(servers, listener, null);
+            queue.now += 300_000;
+            endedBy(first, 1);
+            serve(servers, listener, null);
+            queue.now += 200_000;
+            Socket third = serve(servers, listener, null);
+            queue.now += 150_000;
+            serve(servers, listener, third);
+            assertEquals(List.of(3L, 1L, 1L), Stream.of(Counter.CONNECTIONS_OPENED, Counter.CONNECTIONS_REUSED,
+                Counter.CONNECTIONS_CLOSED_IDLE).map(counters::get).toList());
+        }
+    }
+
+    /** A server that ends its connections right behind its answers is trusted with none for a while. */
+    @Test
+    void connectionsAreNotKeptForAServerThatEndsThemAtOnce() throws Exception {
+        try (Connector connector = new Connector();
+             ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            connector.start();
+            listener.setSoTimeout(30_000);
+            BackendServers servers = servers(connector, listener.getLocalPort());
+            for (int i = 1; i <= 6; i++) {
+                endedBy(serve(servers, listener, null), i);
+            }
+            for (int i = 0; i < 3; i++) {
+                assertTrue(endedUnused(serve(servers, listener, null)), "not kept");
+            }
+        }
+    }
+
     /** What waits for a connection of its own takes one that comes free before it. */
     @Test
     void aConnectionThatComesFreeServesWhatWaits() throws Exception {
