One SIGHUP may bring a class and an experiment on it

Cause (seen by a test): the operator's file was read again on the signal's thread, before the decision thread had swapped the settings, and held against those of before: an experiment on a class that came with the same signal was refused (`fleet-reload-failed … LANE_UNKNOWN`), and a second signal took it. Ruled out: the check itself, which a start passes. Line: the call behind queue.post in Node.reload.

Change: the file is read after the swap, on the thread for files.

--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -146,8 +146,9 @@
             Log.info("reloaded", "discovery=" + changed.discovery() + " classes="
                 + changed.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             discovery.move(changed.discovery());
+            // Only now: the operator's file is held against the settings in force, and may name a class that came with them. Off this thread: it reads.
+            membership.files(fleet::reload);
         });
-        fleet.reload();
     }
 
     /** A file was turned down; nothing changed. */
--- a/lab/src/test/java/calicochute/lab/process/FleetTest.java
+++ b/lab/src/test/java/calicochute/lab/process/FleetTest.java
@@ -219,6 +219,19 @@
         }
     }
 
+    /** The operator's file is held against the settings that came with the same signal, not against those before. */
+    @Test
+    public void aClassAndAnExperimentOnItComeWithOneHangup() throws Exception {
+        try (SmallFleet fleet = new SmallFleet(1, 16, List.of("m1", "m2"), SHARE, true, false)) {
+            Path config = fleet.folder.resolve("n0.json");
+            Files.writeString(config, Files.readString(config).replace("\"name\":\"order\"", "\"name\":\"lend\""));
+            fleet.writeOperatorFile(0, TRIAL.replace("order", "lend"));
+            fleet.signal(0, "HUP");
+            await("begun, or refused", () -> fleet.log(0).contains("fleet-reload-failed") || fleet.admin(0, "experiments").contains("share=0.5"));
+            assertTrue(fleet.log(0), !fleet.log(0).contains("fleet-reload-failed"));
+        }
+    }
+
     @Test
     public void whereTheSettingsForbidTalkNoSocketIsOpenedAndNoThreadStarted() throws Exception {
         try (SmallFleet fleet = new SmallFleet(1, 7, List.of("m1"), SHARE, false, false)) {
