A spare that ends before it is used brings its pause however that is heard of

Change: a call that finds its connection ended before a byte, and would have been the first on it, starts the pause itself.

--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -43,6 +43,8 @@
     /** Its connection has served before, or has been free; and for how long it had been. */
     private boolean served;
     private long idle;
+    /** Its connection was opened ahead, and this would be the first call on it. */
+    private boolean spare;
     private boolean called;
     private DecisionQueue.Alarm timeout;
     private DecisionQueue.Alarm connecting;
@@ -156,11 +158,23 @@
         });
     }
 
+    /** Its connection ended before a byte was sent. */
+    private void another() {
+        if (spare) {
+            // Guards against a spare that follows another into the same refusal, where this is heard of before the end itself.
+            spare = false;
+            counters.count(Counter.SPARES_FAILED);
+            server.pool.spareEnded(queue.now());
+        }
+        begin();
+    }
+
     /** A connection that has served is there for it, though it may have to rest a little. */
     void lent(Pool.Lent<Connection> lent) {
         waitsNoMore();
         connection = lent.connection();
         idle = lent.idle();
+        spare = !connection.used();
         served = true;
         if (lent.rest() > 0) {
             counters.count(Counter.CONNECTIONS_WAITED_FOR);
@@ -176,6 +190,7 @@
         waitsNoMore();
         connection = fresh;
         served = false;
+        spare = false;
         queue.after(FRESH, () -> connected(false));
     }
 
@@ -195,7 +210,7 @@
         boolean open = connection != null && connection.open();
         switch (progress.connected(now, dispatch.exchange.wantsAnswer(), isIn(), open, !reused)) {
             case CALL -> call(now, reused);
-            case FIND_CONNECTION -> begin();
+            case FIND_CONNECTION -> another();
             case END -> {
                 if (progress.outcome() == Outcome.MOOT) {
                     counters.count(Counter.DISPATCHES_HELD_BACK);
@@ -259,7 +274,7 @@
             connection.close();
             connection = null;
             called = false;
-            begin();
+            another();
         } else {
             end(step, reply);
         }
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Whether a call was ever made on it. */
+    public boolean used() {
+        return latest != null;
+    }
+
     /** True from a call's first byte until the head of its final answer. */
     boolean awaitsAnswer() {
         return awaitsAnswer;
--- a/balancer/src/main/java/calicochute/pool/Pool.java
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -166,6 +166,11 @@
     /** The connection opened ahead has not come up, or is not wanted any more. */
     public void spareFailed(long now) {
         spareOpening = false;
+        spareEnded(now);
+    }
+
+    /** The server ended one before it was used: none is opened ahead for a while. */
+    public void spareEnded(long now) {
         noSparesUntil = now + rules.spareBan;
     }
 
@@ -176,7 +181,7 @@
             if (kept.connection == connection) {
                 i.remove();
                 if (!kept.used) {
-                    noSparesUntil = now + rules.spareBan;
+                    spareEnded(now);
                 } else if (byServer) {
                     endedAfter(now - kept.since, now);
                 }
