Where most attempts time out that is load: a balancer took in all, with no answer

Two cut their limit at once; n1 kept it open (aim 0.19 to 0.29) for 3 s, sent 60 to 90 sessions a second into full queues, and so kept the others' servers full too; they were at rest only at 22 s. Checked by printing admission four times a second (trial build). Lines at fault: Choice.retry, "hung": a time-out past five typical latencies counted as a hung server's. What is typical comes from answers, of which there were none: with 124 ms its limit lay under the aim of 630 ms, with 131 ms over it. Change: the share of attempts that end in no answer is smoothed over 16 (Known.ended); over a half, a late time-out is load too. Measured: AdmissionTest.timeOutsOfAllAreLoad: 0 of 200 refused with no answer at all before, and it fails then.

--- a/decision/src/main/java/calicochute/decision/Choice.java
+++ b/decision/src/main/java/calicochute/decision/Choice.java
@@ -8,14 +8,13 @@
  */
 record Choice(Known known, Estimates estimates, Legality legality, Admission admission, Retries retries,
               Pick pick, Subset subset) implements Balancer {
-    /** A time-out past so many typical latencies tells of a hung backend, not of load. */
-    private static final double HUNG = 5;
+    /** A time-out past so many typical latencies is a hung backend's, no load; unless this share end so. */
+    private static final double HUNG = 5, MOST = 0.5;
     private static final long REVIEW = 250_000;
     private static final int TIMER_HELD = 1;
 
     static Choice of(Settings settings) {
         Known known = new Known(settings);
-        known.retryTokens = Retries.MOST / 2;
         ColdStarts coldStarts = new ColdStarts(known);
         Estimates estimates = new Estimates(known, coldStarts);
         Legality legality = new Legality(known, coldStarts);
@@ -121,6 +120,7 @@
         if (r == null || e.attempt() >= r.sent || !r.attempts[e.attempt()].out) { return; }
         Attempt a = r.attempts[e.attempt()];
         a.ended(e.outcome().provesNotRun());
+        known.ended(e.outcome());
         if (estimates.learn(a, e)) { pick.leave(a.server); }
         if (e.finished() || r.ended) {
             if (!r.ended && e.outcome() == Outcome.OK) { admission.aim(r, 0); }
@@ -130,9 +130,9 @@
 
     private void retry(Request r, Outcome outcome) {
         boolean again = retries.spend(r);
-        // DANGER: a time-out at the deadline still owes an answer now. A hung backend's is no load.
-        boolean hung = known.now - r.arrivedAt >= HUNG * known.seen(r).latency;
-        if (!again && outcome == Outcome.TIMED_OUT && !hung) { admission.aim(r, 1); }
+        // DANGER: a time-out at the deadline still owes an answer now. One hung backend's is no load.
+        boolean load = known.timedOut > MOST || known.now - r.arrivedAt < HUNG * known.seen(r).latency;
+        if (!again && outcome == Outcome.TIMED_OUT && load) { admission.aim(r, 1); }
         if (again) { dispatch(r); } else { giveUp(r); }
     }
 
--- a/decision/src/main/java/calicochute/decision/Known.java
+++ b/decision/src/main/java/calicochute/decision/Known.java
@@ -11,6 +11,7 @@
 import calicochute.decision.Balancer.Advised;
 import calicochute.decision.Balancer.Effect;
 import calicochute.decision.Balancer.OfFleet;
+import calicochute.decision.Balancer.Outcome;
 import calicochute.decision.Balancer.RequestClass;
 import calicochute.decision.Balancer.Settings;
 
@@ -61,10 +62,10 @@
     double callers, mostReady;
     long reviewedAt, unconnectedAt = Long.MIN_VALUE / 2;
 
-    double retryTokens;
-    /** Admission: requests open and how many may be; smoothed share of the slack that queueing takes. */
+    double retryTokens = Retries.MOST / 2;
+    /** Admission: requests open and how many may be; smoothed shares, of the slack that queueing takes and of time-outs. */
     int open;
-    double limit = Double.MAX_VALUE, aimRatio;
+    double limit = Double.MAX_VALUE, aimRatio, timedOut;
     long limitCutAt;
     /** First tries of late, three bins a class: in the tenant's allowance, over it, retries (always 0). */
     double[] arrivals = { };
@@ -87,6 +88,13 @@
         tenantTokens = Arrays.copyOf(tenantTokens, to.tenants().size());
     }
 
+    /** Of attempts that ended in an answer or in none, the share of the latter; what else ends them says nothing of it. */
+    void ended(Outcome how) {
+        if (how == Outcome.OK || how == Outcome.TIMED_OUT) {
+            timedOut += ((how == Outcome.OK ? 0 : 1) - timedOut) / 16;
+        }
+    }
+
     void told(Advised e) {
         fleet = e.servers().stream().collect(Collectors.toMap(OfFleet::id, f -> f, (a, b) -> b));
         fleetUntil = e.until();
--- a/decision/src/test/java/calicochute/decision/AdmissionTest.java
+++ b/decision/src/test/java/calicochute/decision/AdmissionTest.java
@@ -81,6 +81,25 @@
         assertEquals(sent + 30, f.sent.size());
     }
 
+    /**
+     * DANGER: where all hang or are swamped nothing is answered, so nothing else tells of it: while each time-out was put down to a
+     * hung server, one of three balancers went on sending all it got for three seconds to servers from which no answer came.
+     */
+    @Test
+    void timeOutsOfAllAreLoad() {
+        Fixture f = new MechanismTest().steady(Effect.ONCE);
+        int refused = 0;
+        for (int i = 0; i < 200; i++) {
+            int said = f.said.size();
+            f.arrive(nextRequest++, SECOND);
+            refused += f.said.get(said).startsWith("refuse") ? 1 : 0;
+            f.now += 50_000;
+            // Twenty at a time are out, each until its time of ten typical latencies is over.
+            f.timeOutOldest(SECOND);
+        }
+        assertTrue(refused > 50, "only " + refused + " refused while none of 200 was answered");
+    }
+
     /** Servers that turn sessions away while another one takes them at once are no overload. */
     @Test
     void aFullServerBesideAFreeOneIsNoLoad() {
--- a/decision/src/test/java/calicochute/decision/Fixture.java
+++ b/decision/src/test/java/calicochute/decision/Fixture.java
@@ -131,6 +131,15 @@
         }
     }
 
+    /** Ends all that have been out for so long without an answer. */
+    void timeOutOldest(long age) {
+        for (Sent s : List.copyOf(sent)) {
+            if (sentAt.get(s.request) <= now - age && open.remove(s.request)) {
+                on(new AttemptEnded(s.request, 0, s.backend, false, Outcome.TIMED_OUT, now - sentAt.get(s.request), null));
+            }
+        }
+    }
+
     /** Lets time pass to the timers due until {@code until}. */
     void pass(long until) {
         while (true) {
