Servers that end connections as they come up: both orders by hand, none by luck

Change: EndedAtOnceTest is the decision thread of real connections on a clock that only it moves (ByHand, taken out of BackendServersTest): the connection is up, its peer resets or closes it, this side has heard of it, and only then the rest is over: CONNECT_FAILED, not a byte sent, no other connection opened; and the other order: read by the peer, then reset: RESET, sent once. The same for spares, with the pause of 20 s to its end. BadServerTest holds in whatever order comes: one answer a session, 502 exactly where dispatches_reset grew by one, else 503, each dispatch accounted for, and at a peer that reads to the end each request is there once where 502 was said and not at all where 503 was.

--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -4,14 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicochute.connection.Connector;
-import calicochute.decision.Balancer.Limits;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.exchange.Answer;
-import calicochute.exchange.Body;
-import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Dispatch;
-import calicochute.exchange.Exchange;
-import calicochute.exchange.Message;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.settings.Bounds;
@@ -22,13 +17,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -37,76 +28,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Dispatches step by step: the test is the decision thread, on real connections. */
-class BackendServersTest {
-    /** A clock that goes on by a step at each look, as on a machine short of processor time; tasks are run by the test. */
-    private static final class HandQueue implements DecisionQueue {
-        private static final long STEP = 3_000;
-        final BlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
-        final List<Long> dueAt = new ArrayList<>();
-        final List<Runnable> alarms = new ArrayList<>();
-        private long now = 1_000_000;
-
-        @Override
-        public long now() {
-            return now += STEP;
-        }
-
-        @Override
-        public void post(Runnable task) {
-            posted.add(task);
-        }
-
-        @Override
-        public Alarm after(long micros, Runnable task) {
-            dueAt.add(now + micros);
-            alarms.add(task);
-            return () -> { };
-        }
-    }
-
-    /** For how long a dispatch may be sent. */
-    private static final long WINDOW = 1_000_000;
-    private final HandQueue queue = new HandQueue();
-    private final List<Outcome> outcomes = new ArrayList<>();
-
-    private Exchange exchange;
-
-    private Dispatch dispatch() {
-        return dispatch("/");
-    }
-
-    private Dispatch dispatch(String target) {
-        exchange = new Exchange(1, "1", new Message("GET", target, List.of(), new Body.Whole(new byte[0])), 0, -1,
-            new Limits(true, false, false, false, false, 3, 10, 1, 500_000, 0), false, queue.now(), 900_000, a -> { });
-        return exchange.dispatch("s", queue.now(), queue.now + WINDOW);
-    }
-
-    private final Counters counters = new Counters();
-
-    private BackendServers servers(Connector connector, int port) {
-        return servers(connector, port, 500_000);
-    }
-
-    private BackendServers servers(Connector connector, int port, long connectTimeout) {
-        BackendServers servers = new BackendServers(connector, queue, counters, connectTimeout, 30_000_000,
-            Bounds.of(64, false, 64), new DispatchListener() {
-                @Override
-                public void dispatchBegun(Dispatch dispatch, Answer answer) {
-                }
-
-                @Override
-                public void dispatchEnded(Dispatch dispatch, Outcome outcome, Answer answer) {
-                    outcomes.add(outcome);
-                }
-
-                @Override
-                public void dispatchWritten() {
-                }
-            });
-        servers.address("s", new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-        return servers;
-    }
-
+class BackendServersTest extends ByHand {
     /** A dispatch's time runs from its sending, however long this side takes to prepare it. */
     @Test
     void theTimeOutIsDueOnTimeAfterASlowStart() {
@@ -143,14 +65,6 @@
         }
     }
 
-    private static boolean endedUnused(Socket socket) throws IOException {
-        try {
-            return socket.getInputStream().read() < 0;
-        } catch (SocketException e) {
-            return true;
-        }
-    }
-
     /** What waits for its connection is not begun once its server or its session is out, in each of the ways they can be. */
     @ParameterizedTest
     @ValueSource(strings = {"out by hand or draining", "not on a whole list", "gone", "moved", "started anew", "client gone",
@@ -172,16 +86,6 @@
         });
     }
 
-    /** Connections to it don't come up until those before them are accepted. */
-    private static List<Socket> fill(ServerSocket listener) throws IOException {
-        return List.of(new Socket(listener.getInetAddress(), listener.getLocalPort()),
-            new Socket(listener.getInetAddress(), listener.getLocalPort()));
-    }
-
-    private void runPosted() throws InterruptedException {
-        queue.posted.poll(30, TimeUnit.SECONDS).run();
-    }
-
     /** A handshake that is late is not lost: after half the time a second is tried beside it, and both serve what comes next. */
     @Test
     void connectionsThatComeUpLateServeTheNext() throws Exception {
@@ -216,39 +120,6 @@
         }
     }
 
-    /** Sends one more, over this connection or, if null, over a new one, which is returned; it is answered and the connection is free again. */
-    private Socket serve(BackendServers servers, ServerSocket listener, Socket kept) throws Exception {
-        int before = outcomes.size();
-        servers.send(dispatch(), 60_000_000);
-        Socket socket = kept;
-        if (kept == null) {
-            socket = listener.accept();
-            socket.setSoTimeout(30_000);
-            int sent = queue.alarms.size();
-            while (queue.alarms.size() == sent) {
-                runPosted();
-            }
-            queue.alarms.get(sent).run();
-        }
-        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        assertEquals("GET / HTTP/1.1", in.readLine());
-        in.readLine();
-        in.readLine();
-        socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-        while (outcomes.size() == before) {
-            runPosted();
-        }
-        assertEquals(Outcome.OK, outcomes.get(before));
-        return socket;
-    }
-
-    private void endedBy(Socket socket, int early) throws Exception {
-        socket.close();
-        while (counters.get(Counter.CONNECTIONS_ENDED_EARLY) < early) {
-            runPosted();
-        }
-    }
-
     /** A server ended an idle connection: the next call is not written to one that is nearly as old, but still to a younger one. */
     @Test
     void noCallIsWrittenToAConnectionAboutToEnd() throws Exception {
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -4,13 +4,17 @@
 import static calicochute.process.Program.list;
 import static calicochute.process.Program.session;
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.Test;
 
 /** The program as backend servers meet it whose answers are spoilt, or bring more than belongs to them. */
@@ -80,29 +84,96 @@
         assertEquals(5, server.requests.size());
     }
 
-    /** A server that resets a connection as it comes up has run nothing: the session is denied, not failed. */
-    @Test
-    public void aConnectionResetAtOnceRanNothing() throws Exception {
-        program.stop();
-        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            program = Program.with(discovery, "127.0.0.1:" + listener.getLocalPort());
-            Thread resets = new Thread(() -> {
+    /** Ends each connection as it comes up; one that is ended on this side only is read to its end, which shows all that was sent. */
+    private static final class Ending implements AutoCloseable {
+        final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final List<Http> requests = new CopyOnWriteArrayList<>();
+        final AtomicInteger begun = new AtomicInteger();
+        final AtomicInteger over = new AtomicInteger();
+
+        Ending(boolean resets) throws IOException {
+            Thread thread = new Thread(() -> {
                 try {
                     while (true) {
                         Socket socket = listener.accept();
-                        socket.setSoLinger(true, 0);
-                        socket.close();
+                        begun.incrementAndGet();
+                        end(socket, resets);
+                        over.incrementAndGet();
                     }
                 } catch (IOException e) {
                     // The test is over.
                 }
             });
-            resets.start();
-            assertEquals(503, order(GOOD).status());
-            assertEquals(0, program.counter("dispatches_reset"));
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void end(Socket socket, boolean resets) {
+            try (socket) {
+                if (resets) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                socket.setSoTimeout(30_000);
+                socket.shutdownOutput();
+                for (Http request = Http.read(socket.getInputStream()); request != null; request = Http.read(socket.getInputStream())) {
+                    requests.add(request);
+                }
+            } catch (IOException e) {
+                // The program ended it with a reset; what it had sent before that has been read.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
         }
     }
 
+    /**
+     * A server that ends each connection as it comes up. Where the program heard of it before it sent the request the server has run
+     * nothing, and the session is denied; where not it may have run, and the session has failed. Which of the two is the machine's choice
+     * at each; EndedAtOnceTest has both orders by hand.
+     */
+    private void checkEndedAtOnce(boolean resets) throws Exception {
+        program.stop();
+        try (Ending ending = new Ending(resets)) {
+            program = Program.with(discovery, "127.0.0.1:" + ending.listener.getLocalPort());
+            List<Integer> statuses = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                long reset = program.counter("dispatches_reset");
+                long refused = program.counter("dispatches_connect_failed");
+                long sent = program.counter("dispatches_sent");
+                int status = program.send(session(String.format("%016x", i), "order"), new byte[1]).status();
+                reset = program.counter("dispatches_reset") - reset;
+                refused = program.counter("dispatches_connect_failed") - refused;
+                assertTrue("session " + i + " was sent " + reset + " times", reset <= 1);
+                assertEquals("session " + i, reset == 1 ? 502 : 503, status);
+                assertEquals("each dispatch is accounted for", program.counter("dispatches_sent") - sent, reset + refused);
+                statuses.add(status);
+            }
+            assertTrue("some were dispatched", ending.begun.get() > 0);
+            if (!resets) {
+                await("read to the end", () -> ending.begun.get() == ending.over.get());
+                for (int i = 0; i < statuses.size(); i++) {
+                    String id = String.format("%016x", i);
+                    assertEquals("session " + i, statuses.get(i) == 502 ? 1 : 0,
+                        ending.requests.stream().filter(r -> id.equals(r.header("X-Txn"))).count());
+                }
+            }
+        }
+    }
+
+    @Test
+    public void aConnectionResetAtOnceIsDeniedUnlessItMayHaveRun() throws Exception {
+        checkEndedAtOnce(true);
+    }
+
+    @Test
+    public void aConnectionClosedAtOnceIsDeniedUnlessItMayHaveRun() throws Exception {
+        checkEndedAtOnce(false);
+    }
+
     /** A server that is gone is forgotten, with its connections; another one at its address starts with new ones. */
     @Test
     public void aServerThatIsGoneIsForgotten() throws Exception {
