Test stand-ins: ports nobody takes, starts by the program's own word, packed classes

Change: ports below the system's range, each held by a datagram socket of the same number for as long as the test run lives, so that runs beside each other don't choose the same; a start is over when its own log says "serving" and /ready 200, and one that ended says why; all connections of the descriptors' test at once; the program's folders of classes are packed once a test run.

--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -16,6 +16,7 @@
 
 /** The program as clients meet it that send what they should not, or nothing, or too much. */
 public class BadClientTest extends OneServer {
+    private static final int DESCRIPTORS = 100;
     private static final String VIEW = session(ID, "view");
     private static final String SCAN = session(ID, "scan");
 
@@ -195,14 +196,14 @@
     @Test
     public void acceptingOutlivesALackOfDescriptors() throws Exception {
         List<Socket> silent = new ArrayList<>();
-        Program scarce = Program.scarce(100, discovery, server);
+        Program scarce = Program.scarce(DESCRIPTORS, discovery, server);
         try {
-            // Started from folders of classes, not from its jar, a class's first use takes a descriptor too: used here before.
             assertEquals(200, scarce.admin("GET health", "").status());
-            await("out of descriptors", () -> {
+            // All at once: one after another on a loaded machine the first would be ended for their silence before the last one comes.
+            for (int i = 0; i < DESCRIPTORS; i++) {
                 silent.add(scarce.connect());
-                return scarce.log().contains("Too many open files");
-            });
+            }
+            await("out of descriptors", () -> scarce.log().contains("Too many open files"));
             for (int i = 0; i < 20; i++) {
                 silent.add(new Socket(InetAddress.getLoopbackAddress(), scarce.admin));
             }
--- a/balancer/src/test/java/calicochute/process/Program.java
+++ b/balancer/src/test/java/calicochute/process/Program.java
@@ -7,7 +7,6 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -89,10 +88,9 @@
         return Arrays.stream(servers).map(Peer::address).toArray(String[]::new);
     }
 
+    /** One that nobody takes before the program binds it. */
     static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
-        }
+        return Ports.free();
     }
 
     private Program(String shell, int sockets, int admin, Peer discovery, String... servers) throws Exception {
@@ -107,7 +105,11 @@
         Files.writeString(config, edit.apply(configuration(port, admin, sockets, discovery, servers)));
         log = Files.createTempFile("calicochute", ".log");
         process = start(shell, log, "serve", "--config", config.toString());
-        await("ready", () -> send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200);
+        await("ready", () -> {
+            assertTrue("ended at its start: " + log(), process.isAlive());
+            // Its own word, and not only that of whoever answers at its port: that comes before the start is over.
+            return log().contains(" INFO serving ") && send("GET /ready HTTP/1.1\r\nHost: a\r\n").status() == 200;
+        });
     }
 
     /** A configuration file's text; {@code admin} 0 for no second address. */
@@ -123,9 +125,8 @@
     }
 
     /** The command that starts the program, as built and with assertions on. */
-    static List<String> command(String... arguments) {
-        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp",
-            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+    static List<String> command(String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-ea", "-cp", PackedClasses.path(),
             "calicochute.cli.Main"));
         command.addAll(List.of(arguments));
         return command;
--- a/lab/src/test/java/calicochute/lab/process/SmallFleet.java
+++ b/lab/src/test/java/calicochute/lab/process/SmallFleet.java
@@ -10,7 +10,6 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -132,9 +131,7 @@
     }
 
     static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
-        }
+        return Ports.free();
     }
 
     /** From now on the server answers so. */
