A client's end is seen behind a long body that nobody takes yet

Cause: a body over 64 KB is read 68 KB far, then HttpCore's CapacityWindow.removeCapacity clears READ until a server takes some. While its session is held or waits for a connection nobody does, so neither the client's FIN nor its RST is read, and the first dispatch begins for a client that has gone (SessionHandler.updateCapacity gave credit for nothing but what was taken). Measured on Linux with Java 17, apart from the program: with no interest a channel leaves epoll; a channel registered at a second selector with OP_CONNECT alone is ready for a reset with 0, 50 kB and 128 kB unread, and not for a FIN; available() does not count an end. So a reset can be seen without reading, a FIN only by reading up to it.

Measured: ClientGoneTest.theEndBehindALongBodyIsSeen fails without reading on ("waited in vain: noticed 70000 of 70000, reset true"), .aResetIsSeenThoughNothingIsRead without ResetWatch ("waited in vain: noticed"); both pass with it.

--- a/balancer/src/main/java/calicochute/exchange/Pipe.java
+++ b/balancer/src/main/java/calicochute/exchange/Pipe.java
@@ -87,6 +87,7 @@
             pieces.clear();
             owed += held;
             held = 0;
+            withheld = 0;
         }
         grant();
     }
@@ -163,6 +164,23 @@
         withheld += Math.max(0, bytes);
     }
 
+    /**
+     * So many bytes were granted ahead of time: those taken next are not granted again. Where something was offered to a sink
+     * already there is no need to, and it answers false.
+     */
+    public synchronized boolean advance(int bytes) {
+        if (taken || abandoned) {
+            return false;
+        }
+        withheld += bytes;
+        return true;
+    }
+
+    /** Credit that is not to be granted for what is taken next. */
+    public synchronized int withheld() {
+        return withheld;
+    }
+
     /** Called from now on whenever there is more to take, the body ends or is broken; to be set before the first take. */
     public synchronized void whenReady(Runnable listener) {
         ready = listener;
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -36,6 +36,8 @@
     private volatile Listening listening;
     private final int room;
     private final int window;
+    private final ReadAhead readAhead;
+    private final ResetWatch resets;
     /** Clients' connections, the oldest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int connected;
@@ -43,7 +45,7 @@
 
     /** @param inherited the socket that listens for clients already, or null to listen at the configuration's address */
     public Frontend(Configuration configuration, ServerSocketChannel inherited, DecisionQueue clock, Sessions sessions,
-                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence, Supplier<Succession> settings) {
+                    Counters counters, BooleanSupplier ready, Supplier<Presence> presence, Supplier<Succession> settings) throws IOException {
         reader = new SessionReader(settings);
         this.clock = clock;
         this.sessions = sessions;
@@ -52,6 +54,8 @@
         this.presence = presence;
         room = configuration.bounds().clientConnections();
         window = configuration.bounds().window();
+        readAhead = new ReadAhead(configuration.bounds().ahead());
+        resets = new ResetWatch(clock);
         address = configuration.listen();
         this.inherited = inherited;
     }
@@ -77,6 +81,7 @@
     @Override
     public void close() {
         listening.close();
+        resets.close();
     }
 
     boolean answersItself(String path) {
@@ -93,6 +98,16 @@
         return window;
     }
 
+    /** What may be read beyond that while no server has been given anything. */
+    ReadAhead readAhead() {
+        return readAhead;
+    }
+
+    /** Sees resets where nothing is read. */
+    ResetWatch resets() {
+        return resets;
+    }
+
     SessionReader reader() {
         return reader;
     }
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -11,6 +11,7 @@
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -33,13 +34,15 @@
  * One request on a client's connection: hands it over as an exchange, whole if it is short and in pieces if not, and writes
  * the answer likewise.
  */
-final class SessionHandler implements AsyncServerExchangeHandler, Respondent {
+final class SessionHandler implements AsyncServerExchangeHandler, Respondent, ResetWatch.Watched {
     /** In seconds, as precise as it is written: rounded to 0 it would say to come back at once. */
     private static final double LEAST_AWAY = 0.001;
     private final ClientConnection.State connection;
     private final Frontend frontend;
     private final Pipe body = new Pipe();
     private final AtomicLong granted = new AtomicLong();
+    private final ReadAhead.Part beyond;
+    private volatile CapacityChannel capacity;
     private long declared = -1;
     private HttpRequest request;
     private ResponseChannel channel;
@@ -57,6 +60,7 @@
     SessionHandler(ClientConnection.State connection) {
         this.connection = connection;
         frontend = connection.frontend;
+        beyond = frontend.readAhead().part();
     }
 
     @Override
@@ -77,17 +81,58 @@
     }
 
     @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
+    public void updateCapacity(CapacityChannel to) throws IOException {
         body.creditTo(bytes -> {
-            granted.addAndGet(bytes);
-            connection.paused(this::windowUsedUp);
-            try {
-                capacity.update(bytes);
-            } catch (IOException e) {
-                Log.info("client-connection", String.valueOf(e.getMessage()));
-            }
+            beyond.keep(body.withheld());
+            grant(to, bytes);
         });
+        capacity = to;
+        if (!waits()) {
+            connection.paused(this::windowUsedUp);
+        } else if (!readAhead()) {
+            connection.paused(this::windowUsedUp);
+            frontend.resets().add((SocketChannel) connection.session.channel(), this);
+        }
+    }
+
+    /** Nothing of a long body has been handed on yet, and someone waits for its answer. */
+    @Override
+    public boolean waits() {
+        return exchange != null && exchange.wantsAnswer() && !body.taken() && !released;
+    }
+
+    /**
+     * Guards against a dispatch for a client that has gone: as long as none has begun its end has to be seen, and it comes behind
+     * what it had sent before. False if there is no room for more.
+     */
+    private boolean readAhead() {
+        int more = beyond.more(body::advance);
+        if (more > 0) {
+            grant(capacity, more);
+        }
+        return more > 0;
+    }
+
+    @Override
+    public void again() {
+        if (windowUsedUp()) {
+            readAhead();
+        }
+    }
+
+    @Override
+    public void reset() {
+        connection.session.close(CloseMode.IMMEDIATE);
+    }
+
+    private void grant(CapacityChannel to, int bytes) {
+        granted.addAndGet(bytes);
         connection.paused(this::windowUsedUp);
+        try {
+            to.update(bytes);
+        } catch (IOException e) {
+            Log.info("client-connection", String.valueOf(e.getMessage()));
+        }
     }
 
     private boolean windowUsedUp() {
@@ -288,6 +333,7 @@
     @Override
     public void releaseResources() {
         released = true;
+        beyond.close();
         // Guards against an end that HttpCore tells in no other way.
         passed(produced);
     }
--- a/balancer/src/main/java/calicochute/settings/Bounds.java
+++ b/balancer/src/main/java/calicochute/settings/Bounds.java
@@ -3,8 +3,11 @@
 /**
  * How much of everything the configuration's limits leave room for. Descriptors are shared between clients and backend
  * servers; what the program itself, discovery and connections just being accepted or closed need is set aside first.
+ *
+ * @param window how far ahead of its server a long message is read
+ * @param ahead bytes that all clients' connections together may be read beyond that, for their ends to be seen
  */
-public record Bounds(int clientConnections, int serverConnections, int window) {
+public record Bounds(int clientConnections, int serverConnections, int window, int ahead) {
     /** A message up to this long is handed on whole; a longer one in pieces. */
     public static final int BODY = 1 << 16;
     /** No message has a longer body. */
@@ -25,6 +28,7 @@
     public static final int AHEAD = 8;
     /** What the second address needs beside its connections: its selectors and its listener. */
     private static final int ADMIN_OWN = 8;
+    private static final int MOST_AHEAD = 1 << 24;
     private static final int SET_ASIDE = 48;
     private static final int FEWEST = 16;
 
@@ -37,6 +41,6 @@
         int each = Math.max(FEWEST, (sockets - aside) / 2);
         // Each client's connection may have a body on its way in and one on its way out.
         long share = ((long) memoryMb << 20) / 6 / (2L * each);
-        return new Bounds(each, each, (int) Math.max(LEAST_WINDOW, Math.min(BODY, share)));
+        return new Bounds(each, each, (int) Math.max(LEAST_WINDOW, Math.min(BODY, share)), (int) Math.min(MOST_AHEAD, ((long) memoryMb << 20) / 16));
     }
 }
