SIGTERM right after the start of listening is a planned stop

Cause: cli.ServeCommand.run added its shutdown hook only behind node.start(), so that a start that fails ends with its own status. From frontend.start() to there a SIGTERM found no hook: the process ended with 143 and with what it had taken.

Change: the hook stands before the start. What it does is an immutable state (cli.Startup): it waits for the start's end, then drains (0), or leaves a failure its status; a start that fails while a SIGTERM waits for it says why and ends with 1.

--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -12,14 +12,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.function.UnaryOperator;
 
 /** Runs one real balancer until it is told to stop. */
 @Parameters(commandDescription = "Run one balancer on real sockets")
 final class ServeCommand implements CommandLine.Command {
+    private static final long LAST_WORDS_MS = 200;
     @ParametersDelegate
     private final ConfigurationOption configuration = new ConfigurationOption();
     /** The file's text as it was taken last. */
     private Configuration running;
+    private Startup startup = Startup.begun();
 
     @Override
     public void run() throws SettingsException, IOException, InterruptedException {
@@ -31,13 +34,34 @@
         if (!Hangup.handle(() -> reload(node))) {
             Log.warn("hangup-ignored", "started with SIGHUP ignored (nohup?): new settings can't be taken over until a restart");
         }
-        InetSocketAddress address = node.start();
-        // Only now: a start that fails must end with its own status, not with that of a planned stop. And before anything else: from here on clients
-        // may come, and a SIGTERM that finds no hook ends the process with what it has taken.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters), "drain"));
+        // Before the start: from its listening on clients may come, and a SIGTERM that finds no hook ends the process with what it has taken.
+        Thread starter = Thread.currentThread();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, counters, starter), "drain"));
+        InetSocketAddress address;
+        try {
+            address = node.start();
+            move(Startup::started);
+        } catch (Exception | Error e) {
+            move(Startup::failed);
+            throw e;
+        }
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + address);
     }
 
+    private synchronized void move(UnaryOperator<Startup> event) {
+        startup = event.apply(startup);
+        notifyAll();
+    }
+
+    /** What a stop has to do, once the start is over. */
+    private synchronized Startup.Step stopping() throws InterruptedException {
+        move(Startup::stop);
+        while (startup.step() == Startup.Step.WAIT) {
+            wait();
+        }
+        return startup.step();
+    }
+
     /** The folder that outlives a process and is the balancer's own; none unless the platform names one. */
     private static SharedFolder shared(String balancer) {
         String folder = System.getenv("TMPDIR");
@@ -55,15 +79,26 @@
         }
     }
 
-    /** On SIGTERM: everything taken is answered, the counters are printed, and the exit status is 0. */
-    private static void stop(Node node, Counters counters) {
+    /** On SIGTERM: everything taken is answered, the counters are printed, and the exit status is 0. A start that failed ends with its own. */
+    private void stop(Node node, Counters counters, Thread starter) {
+        int status = CommandLine.DONE;
         try {
-            node.drain();
+            switch (stopping()) {
+                case DRAIN -> node.drain();
+                case FAIL -> {
+                    // It still says why; its own end would wait for this one.
+                    starter.join(LAST_WORDS_MS);
+                    status = CommandLine.FAILED;
+                }
+                default -> {
+                    return;
+                }
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         Log.info("counters", counters.text().trim().replace('\n', ','));
         System.out.flush();
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(status);
     }
 }
--- /dev/null
+++ b/balancer/src/test/java/calicochute/process/EarlyStopTest.java
@@ -0,0 +1,58 @@
+package calicochute.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+
+/** A planned stop that comes as soon as anybody can see the program listen. */
+public class EarlyStopTest {
+    private static final int ROUNDS = 12;
+
+    private static Socket connected(int port) {
+        long latest = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (true) {
+            try {
+                return new Socket(InetAddress.getLoopbackAddress(), port);
+            } catch (IOException e) {
+                assertTrue("does not listen", System.nanoTime() < latest);
+            }
+        }
+    }
+
+    /** What it has taken is answered, and it ends as planned. */
+    @Test
+    public void whatIsTakenRightAfterTheStartIsAnswered() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (Peer discovery = Peer.silent(release); Peer server = new Peer(r -> Http.answer(200, "", "a map"))) {
+            for (int round = 0; round < ROUNDS; round++) {
+                int port = Program.freePort();
+                Path config = Files.createTempFile("calicochute", ".json");
+                Files.writeString(config, Program.configuration(port, 0, 1024, discovery, server));
+                Path log = Files.createTempFile("calicochute", ".log");
+                Process process = Program.start(log, "serve", "--config", config.toString());
+                try (Socket socket = connected(port)) {
+                    process.destroy();
+                    socket.setSoTimeout(30_000);
+                    socket.getOutputStream().write(Http.message(Program.session(String.format("%016x", round), "view"), new byte[0]));
+                    Http answer = Http.read(socket.getInputStream());
+                    assertNotNull("round " + round + ": " + Files.readString(log), answer);
+                    assertEquals(200, answer.status());
+                }
+                assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+                assertEquals(Files.readString(log), 0, process.exitValue());
+                assertTrue(Files.readString(log).contains("invariants_broken 0"));
+            }
+        } finally {
+            release.countDown();
+        }
+    }
+}
