Where descriptors lack, the least needed clients end at once

Cause: with a real limit below what the settings promise there are never more clients' connections than Frontend.opened counts as room, so idle ones held the last descriptors. Listening.accept paused 50 ms at a time, and Connector.open failed, until those clients' own time was over (2.4 s or 10 s): who asked, discovery, servers and the second address had none.

Change: Listening (both addresses) and Connector ask Frontend.lacking when an accept or a connect fails. It opens a socket to see whether it is for lack of descriptors (the exception's text depends on the system's language), ends the least needed clients in the order there was, 8 below what there are, never one that is owed an answer, and keeps to that number (frontend.Room, without I/O; one more each 5 s). The connection is tried again after 20 ms, three times at most; behind a lack connections are taken in one by one for a second. node.Node: two lines that wire it.

--- a/balancer/src/main/java/calicochute/admin/AdminServer.java
+++ b/balancer/src/main/java/calicochute/admin/AdminServer.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 
 /** The second address: operators' calls over HTTP/1.1, on a listener and an I/O thread of their own. */
@@ -15,10 +16,13 @@
     private static final int BACKLOG = 256;
     private final Operations operations;
     private final Counters counters;
+    private final BooleanSupplier lacking;
     /** Callers' connections, the oldest first. */
     private final Set<AdminConnection> connections = new LinkedHashSet<>();
 
-    public AdminServer(Operations operations, Counters counters) {
+    /** @param lacking asked when nothing could be accepted */
+    public AdminServer(Operations operations, Counters counters, BooleanSupplier lacking) {
+        this.lacking = lacking;
         this.operations = operations;
         this.counters = counters;
     }
@@ -26,8 +30,10 @@
     /** Starts to listen and returns the address in use. */
     public InetSocketAddress start(InetSocketAddress address) throws IOException {
         Callback<Exception> onFault = e -> Log.info("admin-connection", String.valueOf(e.getMessage()));
-        return Listening.at(address, BACKLOG, Bounds.ADMIN_CONNECTIONS + Bounds.AHEAD, "admin",
-            (session, attachment) -> AdminConnection.on(session, this, onFault), onFault, counters).start();
+        Listening listening = Listening.at(address, BACKLOG, Bounds.ADMIN_CONNECTIONS + Bounds.AHEAD, "admin",
+            (session, attachment) -> AdminConnection.on(session, this, onFault), onFault, counters);
+        listening.whenLacking(lacking);
+        return listening.start();
     }
 
     Operations operations() {
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -29,6 +29,14 @@
 
     void opening(Future<IOSession> request) {
         opening = request;
+        if (closed) {
+            // Given up between two tries.
+            request.cancel(true);
+        }
+    }
+
+    boolean closed() {
+        return closed;
     }
 
     void opened(IOSession opened) {
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -5,6 +5,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ReadableByteChannel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -37,7 +41,11 @@
         .setMaxLineLength(Bounds.LINE).setMaxHeaderCount(Bounds.FIELDS)
         .setInitialWindowSize(Bounds.WINDOW).build();
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
+    /** Where descriptors are lacking, room is made for the connection, and it is tried again: nothing was sent yet. */
+    private static final int RETRIES = 3;
+    private static final Executor LATER = CompletableFuture.delayedExecutor(20, TimeUnit.MILLISECONDS, Runnable::run);
     private final DefaultConnectingIOReactor reactor;
+    private volatile BooleanSupplier lacking = () -> false;
 
     public Connector() {
         IOReactorConfig config = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
@@ -60,6 +68,12 @@
         Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000));
         // With its text for a name: HttpHost would ask the system for the address's name, which can take seconds.
         HttpHost host = new HttpHost(null, address.getAddress(), address.getHostString(), address.getPort());
+        connect(connection, host, address, timeout, opened, failed, 0);
+        return connection;
+    }
+
+    private void connect(Connection connection, HttpHost host, InetSocketAddress address, Timeout timeout, Consumer<Connection> opened,
+                         Consumer<Exception> failed, int tried) {
         connection.opening(reactor.connect(host, address, null, timeout, connection,
             new FutureCallback<IOSession>() {
                 @Override
@@ -70,7 +84,17 @@
 
                 @Override
                 public void failed(Exception cause) {
-                    failed.accept(cause);
+                    if (tried < RETRIES && lacking.getAsBoolean()) {
+                        LATER.execute(() -> {
+                            if (connection.closed()) {
+                                failed.accept(cause);
+                            } else {
+                                connect(connection, host, address, timeout, opened, failed, tried + 1);
+                            }
+                        });
+                    } else {
+                        failed.accept(cause);
+                    }
                 }
 
                 @Override
@@ -78,7 +102,11 @@
                     failed.accept(new IOException("cancelled"));
                 }
             }));
-        return connection;
+    }
+
+    /** Asked when a connection could not be opened: true if it was for lack of descriptors, and one may soon be had. */
+    public void whenLacking(BooleanSupplier listener) {
+        lacking = listener;
     }
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -13,6 +13,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -34,7 +36,8 @@
     private final InetSocketAddress address;
     private final ServerSocketChannel inherited;
     private volatile Listening listening;
-    private final int room;
+    private final int most;
+    private final Room room;
     private final int window;
     private final ReadAhead readAhead;
     private final ResetWatch resets;
@@ -52,7 +55,8 @@
         this.counters = counters;
         this.ready = ready;
         this.presence = presence;
-        room = configuration.bounds().clientConnections();
+        most = configuration.bounds().clientConnections();
+        room = new Room(most);
         window = configuration.bounds().window();
         readAhead = new ReadAhead(configuration.bounds().ahead());
         resets = new ResetWatch(clock);
@@ -63,8 +67,9 @@
     /** Starts to listen and returns the address in use. */
     public InetSocketAddress start() throws IOException {
         IOEventHandlerFactory handlers = (session, attachment) -> ClientConnection.on(session, this, onFault);
-        listening = inherited == null ? Listening.at(address, BACKLOG, room + Bounds.AHEAD, "frontend", handlers, onFault, counters)
-            : Listening.on(inherited, room + Bounds.AHEAD, "frontend", handlers, onFault, counters);
+        listening = inherited == null ? Listening.at(address, BACKLOG, most + Bounds.AHEAD, "frontend", handlers, onFault, counters)
+            : Listening.on(inherited, most + Bounds.AHEAD, "frontend", handlers, onFault, counters);
+        listening.whenLacking(this::lacking);
         return listening.start();
     }
 
@@ -129,28 +134,63 @@
         counters.count(Counter.CLIENTS_ACCEPTED);
         connections.add(connection);
         connected = connections.size();
-        if (connected > room) {
-            leastNeeded(connection).makeRoom();
+        if (connected > room.at(now())) {
+            ClientConnection least = leastNeeded(Set.of(connection));
+            (least == null ? connection : least).makeRoom();
         }
     }
 
+    /**
+     * Something could not be opened or accepted; any thread may say so. If it is for lack of descriptors the clients that are least
+     * needed end; true if one may soon be had.
+     */
+    public boolean lacking() {
+        return outOfDescriptors() && makeRoom();
+    }
+
+    /** The exception's own text depends on the language of the system. */
+    private static boolean outOfDescriptors() {
+        try {
+            SocketChannel.open().close();
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private synchronized boolean makeRoom() {
+        if (!room.lacks(now(), connected)) {
+            return true;
+        }
+        Set<ClientConnection> ended = new HashSet<>();
+        for (int over = connected - room.at(now()); over > 0; over--) {
+            ClientConnection least = leastNeeded(ended);
+            if (least == null) {
+                break;
+            }
+            least.makeRoom();
+            ended.add(least);
+        }
+        Log.warn("descriptors-lacking", "clients=" + connected + " ended=" + ended.size());
+        return !ended.isEmpty();
+    }
+
     synchronized void closed(ClientConnection connection) {
         connections.remove(connection);
         connected = connections.size();
     }
 
     /**
-     * Guards against descriptors running out: the one least needed, of equal ones the one that has been so the longest, else
-     * the newcomer; never one that is owed an answer.
+     * Guards against descriptors running out: the one least needed, of equal ones the one that has been so the longest; never one
+     * that is owed an answer, nor one of those. Null if there is none.
      */
-    private ClientConnection leastNeeded(ClientConnection newcomer) {
-        ClientConnection least = newcomer;
+    private ClientConnection leastNeeded(Set<ClientConnection> but) {
+        ClientConnection least = null;
         ClientConnection.Need need = ClientConnection.Need.OWED;
         for (ClientConnection connection : connections) {
-            ClientConnection.Need other = connection == newcomer ? ClientConnection.Need.OWED : connection.need();
+            ClientConnection.Need other = but.contains(connection) ? ClientConnection.Need.OWED : connection.need();
             // Bytes that wait are half a request as well: looked for only where it matters.
-            boolean less = other == need ? need != ClientConnection.Need.OWED && connection.idleMs() > least.idleMs()
-                : other.compareTo(need) < 0;
+            boolean less = other == need ? least != null && connection.idleMs() > least.idleMs() : other.compareTo(need) < 0;
             if (less && (other == ClientConnection.Need.SHUT || !connection.bytesWait())) {
                 least = connection;
                 need = other;
@@ -169,6 +209,6 @@
 
     /** Whether an answer is to be its connection's last: at the end, and when room is getting short. */
     boolean closing() {
-        return presence.get().lastAnswers() || connected > room * 3 / 4;
+        return presence.get().lastAnswers() || connected > room.at(now()) * 3 / 4;
     }
 }
--- a/balancer/src/main/java/calicochute/listening/Listening.java
+++ b/balancer/src/main/java/calicochute/listening/Listening.java
@@ -13,6 +13,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
@@ -34,6 +35,9 @@
  */
 public final class Listening {
     private static final long PAUSE_MS = 50;
+    /** Behind a lack of descriptors one connection is taken in at a time, for so long: what is made free must not go to a crowd at once. */
+    private static final long ONE_BY_ONE_NANOS = 1_000_000_000L;
+    private static final long BETWEEN_MS = 2;
     private static final int SCRATCH = 4096;
     private static final long LONGEST_STOP_MS = 1000;
     private static final IOReactorConfig REACTOR = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
@@ -48,6 +52,9 @@
     private final Semaphore places;
     private Thread acceptor;
     private volatile boolean stopped;
+    private BooleanSupplier lacking = () -> false;
+    private long lackedAt;
+    private boolean lacked;
 
     private Listening(ServerSocketChannel socket, boolean own, int most, String name, IOEventHandlerFactory handlers,
                       Callback<Exception> onFault, Counters counters) throws IOException {
@@ -87,6 +94,11 @@
         return new Listening(inherited, false, most, name, handlers, onFault, counters);
     }
 
+    /** Asked when nothing could be accepted, before the start: makes room where that is for lack of descriptors. */
+    public void whenLacking(BooleanSupplier listener) {
+        lacking = listener;
+    }
+
     /** Accepts from now on; returns the address in use. */
     public InetSocketAddress start() throws IOException {
         reactor.start();
@@ -110,6 +122,8 @@
             } catch (IOException | IllegalStateException e) {
                 // Guards against a moment without descriptors: what waits in the socket's queue waits a little longer.
                 counters.count(Counter.ACCEPTOR_WAITS);
+                lacked = lacking.getAsBoolean();
+                lackedAt = System.nanoTime();
                 Log.info("acceptor-waits", name + ": " + e.getMessage());
                 pause();
             }
@@ -132,6 +146,9 @@
         }
         if (next != null) {
             ChannelBridge.adopt(reactor, next);
+            if (lacked && System.nanoTime() - lackedAt < ONE_BY_ONE_NANOS) {
+                Thread.sleep(BETWEEN_MS);
+            }
         }
         return next != null;
     }
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -102,7 +102,8 @@
         frontend = new Frontend(configuration, inherited, queue, this, counters, membership::any, staff::presence,
             () -> succession);
         staff.endsIdle(frontend::endIdle);
-        admin = configuration.admin() == null ? null : new AdminServer(staff, counters);
+        connector.whenLacking(frontend::lacking);
+        admin = configuration.admin() == null ? null : new AdminServer(staff, counters, frontend::lacking);
         lives = new Lives(shared);
         // Where processes follow each other on one socket.
         heritage = inherited == null || shared == null ? null
--- a/balancer/src/test/java/calicochute/connection/ConnectorTest.java
+++ b/balancer/src/test/java/calicochute/connection/ConnectorTest.java
@@ -4,16 +4,21 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.junit.Test;
 
@@ -74,4 +79,43 @@
             assertTrue(address.toString(), address.toString().startsWith("/"));
         }
     }
+
+    /** For lack of descriptors it is tried again, unless it was given up meanwhile; for any other reason it is not. */
+    @Test
+    public void aLackOfDescriptorsIsTriedAgain() throws Exception {
+        for (String order : List.of("no lack", "lack", "given up in a lack", "lack for good")) {
+            InetSocketAddress address;
+            try (ServerSocket free = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                address = (InetSocketAddress) free.getLocalSocketAddress();
+            }
+            BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+            List<ServerSocket> listeners = new CopyOnWriteArrayList<>();
+            CompletableFuture<Connection> opening = new CompletableFuture<>();
+            AtomicInteger asked = new AtomicInteger();
+            try (Connector connector = new Connector()) {
+                connector.whenLacking(() -> {
+                    asked.incrementAndGet();
+                    try {
+                        if (order.equals("lack")) {
+                            listeners.add(new ServerSocket(address.getPort(), 5, address.getAddress()));
+                        } else if (order.equals("given up in a lack")) {
+                            opening.join().giveUp();
+                        }
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                    return !order.equals("no lack");
+                });
+                connector.start();
+                opening.complete(connector.open(address, 5_000_000, c -> heard.add("opened"), e -> heard.add("failed"), c -> { }));
+                assertEquals(order, order.equals("lack") ? "opened" : "failed", heard.poll(20, TimeUnit.SECONDS));
+                assertEquals(order, order.equals("lack for good") ? 3 : 1, asked.get());
+                assertTrue(order, heard.isEmpty());
+            } finally {
+                for (ServerSocket listener : listeners) {
+                    listener.close();
+                }
+            }
+        }
+    }
 }
--- a/balancer/src/test/java/calicochute/process/BadClientTest.java
+++ b/balancer/src/test/java/calicochute/process/BadClientTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.After;
 import org.junit.Test;
 
@@ -280,4 +281,54 @@
             socket.close();
         }
     }
+
+    /** Idle clients hold the last descriptors, discovery is down: room is made at once for who asks, servers, discovery and operators. */
+    @Test
+    public void idleClientsEndWhereDescriptorsLack() throws Exception {
+        List<Socket> idle = new ArrayList<>();
+        List<Socket> asking = new ArrayList<>();
+        discovery.script = r -> null;
+        release.countDown();
+        Program scarce = Program.scarce(100, discovery, server);
+        try {
+            // Started from folders of classes, not from its jar, a class's first use takes a descriptor too: used here before.
+            assertEquals(200, scarce.admin("GET health", "").status());
+            assertEquals(200, scarce.send(VIEW).status());
+            await("out of descriptors", () -> {
+                Socket socket = scarce.connect();
+                idle.add(socket);
+                socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                return scarce.log().contains("Too many open files");
+            });
+            int calls = discovery.requests.size();
+            CountDownLatch together = new CountDownLatch(1);
+            server.script = r -> {
+                together.await();
+                return Http.answer(200, "", "a map");
+            };
+            int before = server.requests.size();
+            for (int i = 0; i < 6; i++) {
+                Socket socket = scarce.connect();
+                asking.add(socket);
+                socket.getOutputStream().write(Http.message(session(String.format("%016x", i), "view"), new byte[0]));
+            }
+            await("connections to a backend server", () -> server.requests.size() == before + asking.size());
+            assertEquals("the second address", 200, scarce.admin("GET health", "").status());
+            await("discovery is asked", () -> discovery.requests.size() > calls);
+            together.countDown();
+            for (Socket socket : asking) {
+                assertEquals(200, Http.read(socket.getInputStream()).status());
+            }
+            assertTrue(scarce.counter("clients_closed_for_room") > 0);
+            assertEquals("none had to be waited for", 0, scarce.counter("clients_closed_idle") + scarce.counter("clients_closed_slow"));
+        } finally {
+            scarce.stop();
+            for (Socket socket : idle) {
+                socket.close();
+            }
+            for (Socket socket : asking) {
+                socket.close();
+            }
+        }
+    }
 }
