A planned stop cuts a long answer that its client does not take

Cause: Node.cutAnswers ended the server's side alone. SessionHandler.produce cuts only once all that is held has been taken, and is not called while the client reads nothing: the session stayed open until SIGKILL, or until Node.drain gave up 10 s later with unanswered=1.

Change: 0.1 s after Presence.answersBy every answer in pieces that is not out yet ends with its connection, on the I/O thread (Frontend.cutAnswers, ClientConnection.State.endsCut): shut down for writing, so that the client has what had left and sees that it is not whole. Counted as ended by the stop and failed, also where the server was done.

--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -25,6 +25,7 @@
     private long arrivedAt;
     private boolean whole;
     private boolean passing;
+    private boolean cut;
     private final Respondent respondent;
     private final List<Dispatch> dispatches = new ArrayList<>(3);
     private volatile boolean closed;
@@ -76,6 +77,15 @@
         return passing;
     }
 
+    /** Its answer in pieces has been broken off on this side. */
+    public boolean cut() {
+        return cut;
+    }
+
+    public void cut(boolean here) {
+        cut = here;
+    }
+
     /** An answer in pieces has begun, or is over. */
     public void passing(boolean under) {
         passing = under;
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -73,6 +73,8 @@
         private volatile boolean heard;
         /** Nothing more is a request: something here was refused, came before an earlier answer, or that says close. */
         volatile boolean last;
+        /** What is still on its way out in pieces ends unfinished. */
+        private volatile boolean cut;
         /** When the last answer was given, or 0. */
         private volatile long lastGiven;
         long since = System.nanoTime();
@@ -159,6 +161,16 @@
             }
         }
 
+        /** Ends the connection if an answer in pieces is to be cut, where the client can tell; on the I/O thread. */
+        boolean endsCut() {
+            SessionHandler handler = latest;
+            if (!cut || handler == null || !handler.passes()) {
+                return false;
+            }
+            session.close(CloseMode.GRACEFUL);
+            return true;
+        }
+
         long ageMs() {
             return (System.nanoTime() - since) / 1_000_000;
         }
@@ -299,6 +311,9 @@
 
     @Override
     public void timeout(IOSession session, Timeout timeout) throws IOException {
+        if (state.endsCut()) {
+            return;
+        }
         if (!state.last && !state.owesAnswer() && bytesWait()) {
             // They are read next, and answered.
             state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
@@ -340,6 +355,15 @@
         }
     }
 
+    /** Asks the I/O thread to end an answer in pieces that is not out yet, and with it the connection; any thread may call. */
+    void cutAnswer() {
+        SessionHandler handler = state.latest;
+        if (handler != null && handler.passes()) {
+            state.cut = true;
+            state.session.setSocketTimeout(Timeout.ONE_MILLISECOND);
+        }
+    }
+
     Need need() {
         if (ending.lingers()) {
             return Need.SHUT;
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -83,6 +83,11 @@
         connections.forEach(ClientConnection::endIfIdle);
     }
 
+    /** Ends each answer in pieces that its client has not taken yet, unfinished, where the client can tell. */
+    public synchronized void cutAnswers() {
+        connections.forEach(ClientConnection::cutAnswer);
+    }
+
     @Override
     public void close() {
         listening.close();
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -272,7 +272,7 @@
 
     @Override
     public void produce(DataStreamChannel out) throws IOException {
-        if (produced) {
+        if (produced || connection.endsCut()) {
             return;
         }
         if (!hooked) {
@@ -309,6 +309,11 @@
         return exchange != null && !answering || passing;
     }
 
+    /** An answer in pieces has begun and its client has not taken all of it. */
+    boolean passes() {
+        return passing;
+    }
+
     /** The client does not read an answer that there is. */
     boolean clientStalls() {
         return passing && answer.held() > 0;
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -51,6 +51,8 @@
     private static final long GUARD_MARGIN = 5_000;
     /** A dispatch is written within this time. */
     private static final long WRITE_MARGIN = 10_000;
+    /** At a stop a client that reads takes the rest of an answer within this time; a slow one would meet the kill. */
+    private static final long TAKE_REST = 100_000;
     private static final long TAKEN_OVER_NANOS = 100_000_000L;
     private static final long LONGEST_END_NANOS = 10_000_000_000L;
     private final Configuration configuration;
@@ -261,7 +263,7 @@
         }
         exchange.passing(false);
         // Where the server broke off the session has failed; where the client went away nothing is counted against it.
-        boolean cut = exchange.latest() != null && !exchange.latest().out() && !exchange.latest().ok();
+        boolean cut = !whole && (exchange.cut() || exchange.latest() != null && !exchange.latest().out() && !exchange.latest().ok());
         counters.count(whole ? Counter.SESSIONS_SERVED : cut ? Counter.SESSIONS_FAILED : Counter.SESSIONS_CLIENT_GONE);
         ended(exchange, whole ? Figures.End.COMPLETED : cut ? Figures.End.FAILED : Figures.End.GONE);
         fleet.answered(exchange, whole, cut);
@@ -390,12 +392,24 @@
 
     // ---- The end
 
-    /** Guards against an answer in pieces that the platform's kill would find unfinished: a server that hangs in its midst ends it here. */
+    /**
+     * Guards against an answer in pieces that the platform's kill would find unfinished: a server that hangs in its midst ends it
+     * here. What its client has not taken a little later, whether its server is done or not, ends with the connection.
+     */
     private void cutAnswers() {
         open.values().stream().filter(e -> e.passing() && e.latest().out()).toList().forEach(e -> {
-            counters.count(Counter.SESSIONS_ENDED_BY_STOP);
+            cutByStop(e);
             backend.cancel(e.latest());
         });
+        queue.after(TAKE_REST, () -> {
+            open.values().stream().filter(e -> e.passing() && !e.cut()).forEach(this::cutByStop);
+            frontend.cutAnswers();
+        });
+    }
+
+    private void cutByStop(Exchange exchange) {
+        counters.count(Counter.SESSIONS_ENDED_BY_STOP);
+        exchange.cut(true);
     }
 
     /** Accepts a little longer, unless another process does; answers everything taken, and returns. */
--- a/balancer/src/test/java/calicochute/process/PiecesTest.java
+++ b/balancer/src/test/java/calicochute/process/PiecesTest.java
@@ -212,6 +212,34 @@
         assertTrue(program.log(), program.log().contains("drained unanswered=0"));
     }
 
+    /** A client that reads its long answer slowly, or not at all: a planned stop cuts it as well, and ends by itself. */
+    @Test
+    public void aStopEndsAnAnswerThatIsNotTaken() throws Exception {
+        // Many times what the systems' buffers take.
+        byte[] body = random(30_000_000);
+        server.script = r -> r.firstLine().contains("untold")
+            ? ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length) + "\r\n"
+                + new String(body, StandardCharsets.ISO_8859_1) + "\r\n0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1)
+            : Http.message("HTTP/1.1 200 OK\r\n", body);
+        try (Socket slow = program.connect(); Socket untold = program.connect()) {
+            slow.getOutputStream().write(Http.message(session(ID, "view"), new byte[0]));
+            untold.getOutputStream().write(Http.message(session(ID.replace('9', '7'), "view").replace("/api", "/untold"), new byte[0]));
+            await("both have begun", () -> program.counter("answers_in_pieces") == 2);
+            program.process.destroy();
+            await("drains", () -> program.log().contains("draining"));
+            // Slowly: a byte now and then, until there is an end to the process.
+            while (!program.process.waitFor(20, TimeUnit.MILLISECONDS)) {
+                assertTrue(slow.getInputStream().read() >= 0);
+            }
+            assertTrue(program.log(), program.log().contains("drained unanswered=0"));
+            assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 2") && program.log().contains("sessions_failed 2"));
+            assertEquals(0, program.process.exitValue());
+            assertTrue("cut where the client can tell", slow.getInputStream().readAllBytes().length < body.length);
+            String got = new String(untold.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue("cut where the client can tell", got.length() < body.length && !got.endsWith("\r\n0\r\n\r\n"));
+        }
+    }
+
     /** A program whose one server listens there; a session of it is on its way when this returns. */
     private Socket restartBefore(ServerSocket listener) throws Exception {
         program.stop();
