The end of idle connections leaves a body that has just begun its time

Cause: ClientConnection.endIfIdle looks on the decision thread and sets a time-out of 1 ms. Set between the I/O thread's own set for a body that has just begun and its next check, ClientConnection.timeout took it for the body's own and closed the connection as slow.

Change: timeout, on the I/O thread, looks at the body itself (State.bodyMs: its pace, and how long nothing of it came) and gives it the time it has left, as it did for half a head.

--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -80,6 +80,7 @@
         long since = System.nanoTime();
         /** The body under way: when its head had come, its bytes, how long we did not read it, and since when. */
         private long bodySince;
+        private long bodyMoved;
         private long bodyBytes;
         private long pausedNanos;
         private volatile long pausedSince;
@@ -107,6 +108,7 @@
         /** The head of a request has come: from here on its body's pace counts. */
         void headRead() {
             bodySince = System.nanoTime();
+            bodyMoved = bodySince;
             bodyBytes = 0;
             pausedNanos = 0;
             pausedSince = 0;
@@ -114,6 +116,7 @@
 
         void bodyRead(int bytes) {
             bodyBytes += bytes;
+            bodyMoved = System.nanoTime();
         }
 
         /**
@@ -125,7 +128,8 @@
             if (now && pausedSince == 0) {
                 pausedSince = System.nanoTime();
             } else if (!now && pausedSince != 0) {
-                pausedNanos += System.nanoTime() - pausedSince;
+                bodyMoved = System.nanoTime();
+                pausedNanos += bodyMoved - pausedSince;
                 pausedSince = 0;
             }
         }
@@ -147,6 +151,12 @@
             return receiving && heard && bodySince == 0 ? REQUEST_MS - ageMs() : 0;
         }
 
+        /** How long a body that comes may yet stand still, in milliseconds; not positive if none comes or it was too slow. */
+        synchronized long bodyMs() {
+            return !receiving || bodySince == 0 || pausedSince != 0 ? 0
+                : Math.min(patienceMs(), STILL_MS - (System.nanoTime() - bodyMoved) / 1_000_000);
+        }
+
         /** A long answer goes out: the client's reading is awaited. */
         void passing() {
             session.setSocketTimeout(Timeout.ofMilliseconds(UNREAD_MS));
@@ -319,10 +329,10 @@
             state.session.setSocketTimeout(Timeout.ofMilliseconds(IDLE_MS));
             return;
         }
-        long head = state.headMs();
-        if (head > 0) {
+        long left = Math.max(state.headMs(), state.bodyMs());
+        if (left > 0) {
             // Guards against the end of idle connections that crosses a request half of which has come: its own time runs.
-            session.setSocketTimeout(Timeout.ofMilliseconds(head));
+            session.setSocketTimeout(Timeout.ofMilliseconds(left));
             return;
         }
         SessionHandler handler = state.latest;
@@ -347,6 +357,11 @@
         }
     }
 
+    /** A request's body comes, and in time. */
+    boolean bodyComes() {
+        return state.bodyMs() > 0;
+    }
+
     /** Asks the I/O thread to end it if nothing is asked or owed on it; any thread may call. */
     void endIfIdle() {
         Need need = need();
