--- a/balancer/src/main/java/calicochute/discovery/Discovery.java
+++ b/balancer/src/main/java/calicochute/discovery/Discovery.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
@@ -26,6 +27,7 @@
     private final Counters counters;
     private InetSocketAddress address;
     private final ListListener listener;
+    private final Reader reader;
     private final WatchClock clock;
     private final Map<WatchClock.Call, Query> out = new HashMap<>();
     /** On whose connection the last answer came. */
@@ -35,15 +37,39 @@
     private boolean told;
     private boolean lost;
 
+    /** Makes a list of an answer's text. */
+    interface Reader {
+        ServerList read(String json) throws SettingsException;
+    }
+
     /** @param rules where discovery is asked, pauses after calls that fail are at most half of its asking time */
     public Discovery(Connector connector, DecisionQueue queue, Counters counters, InetSocketAddress address,
                      ListListener listener, Settings rules) {
+        this(connector, queue, counters, address, listener, rules, ServerList::parse);
+    }
+
+    Discovery(Connector connector, DecisionQueue queue, Counters counters, InetSocketAddress address,
+              ListListener listener, Settings rules, Reader reader) {
         this.connector = connector;
         this.queue = queue;
         this.counters = counters;
         this.address = address;
         this.listener = listener;
-        clock = new WatchClock(rules.seed(), rules.subscribes() ? rules.rules().askEvery() / 2 : WatchClock.LONGEST);
+        this.reader = reader;
+        clock = new WatchClock(rules.seed(), longestPause(rules));
+    }
+
+    private static long longestPause(Settings rules) {
+        return rules.subscribes() ? rules.rules().askEvery() / 2 : WatchClock.LONGEST;
+    }
+
+    /** New settings; a watch that is under way goes on. */
+    public void retune(Settings rules) {
+        clock.retune(longestPause(rules), queue.now());
+        if (!rules.subscribes()) {
+            begin();
+        }
+        look();
     }
 
     /** Where a watch goes on from. */
@@ -114,9 +140,8 @@
                 query.close();
             }
         }
-        if (clock.active()) {
-            alarm = queue.after(Math.max(0, clock.due() - queue.now()), this::look);
-        }
+        long due = clock.due();
+        alarm = due == WatchClock.NEVER ? null : queue.after(Math.max(0, due - queue.now()), this::look);
         if (clock.lost() && !lost) {
             lost = true;
             told = false;
@@ -130,9 +155,11 @@
 
     private void begin(WatchClock.Call call) {
         counters.count(Counter.DISCOVERY_CALLS);
-        if (!out.isEmpty()) {
+        // One whose connection is still coming up is no silent one: that it never does is told when it is given up.
+        List<Query> silent = out.entrySet().stream().filter(e -> e.getKey().isConnected()).map(Map.Entry::getValue).toList();
+        if (!silent.isEmpty()) {
             counters.count(Counter.DISCOVERY_REOPENED);
-            out.values().forEach(q -> q.fault("no answer"));
+            silent.forEach(q -> q.fault("no answer"));
         }
         Query query = call.isConnected() ? latest : new Query();
         latest = null;
@@ -157,16 +184,16 @@
     }
 
     /** What an answer's body says: a list, or else why it is none. */
-    private record Reading(ServerList list, String error) {
-        static Reading of(Reply reply) {
-            if (reply.status() != 200) {
-                return new Reading(null, "no list");
-            }
-            try {
-                return new Reading(ServerList.parse(new String(reply.body(), StandardCharsets.UTF_8)), null);
-            } catch (SettingsException e) {
-                return new Reading(null, e.getMessage());
-            }
+    private record Reading(ServerList list, String error) { }
+
+    private Reading reading(Reply reply) {
+        if (reply.status() != 200) {
+            return new Reading(null, "no list");
+        }
+        try {
+            return new Reading(reader.read(new String(reply.body(), StandardCharsets.UTF_8)), null);
+        } catch (SettingsException e) {
+            return new Reading(null, e.getMessage());
         }
     }
 
@@ -198,16 +225,31 @@
         /** On an I/O thread, which carries sessions too. */
         private void read(WatchClock.Call call, Reply reply) {
             if (reply.body().length <= LARGE) {
-                queue.post(() -> replied(call, reply, Reading.of(reply)));
+                queue.post(() -> replied(call, reply, reading(reply)));
                 return;
             }
             // Guards against sessions that wait while a long list is read: 10,000 entries took 0.3 s in a young process.
-            Thread reader = new Thread(() -> {
-                Reading reading = Reading.of(reply);
-                queue.post(() -> replied(call, reply, reading));
+            Thread thread = new Thread(() -> {
+                Reading reading = new Reading(null, "could not be read");
+                try {
+                    reading = reading(reply);
+                } finally {
+                    // Guards against a watch that waits for good: while an answer is read, no other is asked for.
+                    Reading read = reading;
+                    queue.post(() -> replied(call, reply, read));
+                }
             }, "list");
-            reader.setDaemon(true);
-            reader.start();
+            thread.setDaemon(true);
+            thread.start();
+            // Only once it runs; where it is done before, this finds the call over.
+            queue.post(() -> here(call));
+        }
+
+        private void here(WatchClock.Call call) {
+            if (out.get(call) == this) {
+                call.here();
+                look();
+            }
         }
 
         private void replied(WatchClock.Call call, Reply reply, Reading reading) {
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -149,6 +149,7 @@
             Log.info("reloaded", "discovery=" + changed.discovery() + " classes="
                 + changed.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             discovery.move(changed.discovery());
+            discovery.retune(changed.settings());
             // Only now: the operator's file is held against the settings in force, and may name a class that came with them. Off this thread: it reads.
             membership.files(fleet::reload);
         });
--- /dev/null
+++ b/balancer/src/test/java/calicochute/discovery/DiscoveryTest.java
@@ -0,0 +1,191 @@
+package calicochute.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicochute.connection.Connector;
+import calicochute.decision.Balancer.Settings;
+import calicochute.exchange.DecisionQueue;
+import calicochute.metrics.Counter;
+import calicochute.metrics.Counters;
+import calicochute.settings.SettingsParser;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The watch step by step: the test is the decision thread and its clock, on real connections. */
+class DiscoveryTest {
+    private static final long SECOND = 1_000_000;
+
+    private static final class HandQueue implements DecisionQueue {
+        private record Due(long at, Runnable task) { }
+
+        final BlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+        private final List<Due> alarms = new ArrayList<>();
+        private long now = SECOND;
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public void post(Runnable task) {
+            posted.add(task);
+        }
+
+        @Override
+        public Alarm after(long micros, Runnable task) {
+            Due due = new Due(now + micros, task);
+            alarms.add(due);
+            return () -> alarms.remove(due);
+        }
+
+        void runPosted() {
+            for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+                task.run();
+            }
+        }
+
+        void pass(long micros) {
+            for (long until = now + micros; now < until; now = Math.min(until, now + 50_000)) {
+                List<Due> due = alarms.stream().filter(a -> a.at <= now).toList();
+                alarms.removeAll(due);
+                due.forEach(a -> a.task.run());
+            }
+        }
+
+        void await(String what, BooleanSupplier holds) throws InterruptedException {
+            while (!holds.getAsBoolean()) {
+                Runnable task = posted.poll(10, TimeUnit.SECONDS);
+                assertTrue(task != null, what);
+                task.run();
+            }
+        }
+    }
+
+    private final HandQueue queue = new HandQueue();
+    private final Counters counters = new Counters();
+    private final Connector connector = new Connector();
+    private final List<ServerList> heard = new ArrayList<>();
+    private final CountDownLatch reading = new CountDownLatch(1);
+    private final CountDownLatch read = new CountDownLatch(1);
+    private ServerSocket server;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        connector.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        read.countDown();
+        connector.close();
+        server.close();
+    }
+
+    static Settings settings(boolean asked, long askEvery) throws Exception {
+        Map<String, String> values = new HashMap<>(Map.of("nonce64", "7", "obligations.ask_every", "" + askEvery));
+        values.put("discovery", asked ? "on_request" : "pushed");
+        return SettingsParser.parse(values);
+    }
+
+    private Discovery discovery(Settings settings, Discovery.Reader reader) {
+        return new Discovery(connector, queue, counters, (InetSocketAddress) server.getLocalSocketAddress(), new ListListener() {
+            @Override
+            public void listed(ServerList list) {
+                heard.add(list);
+            }
+
+            @Override
+            public void unavailable() {
+            }
+        }, settings, reader);
+    }
+
+    /** Answers the first call with a body of so many bytes; others hang. */
+    private void answerOne(int bytes) {
+        Thread thread = new Thread(() -> {
+            try (Socket socket = server.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+                for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) { }
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n" + " ".repeat(bytes))
+                    .getBytes(StandardCharsets.US_ASCII));
+                read.await();
+                in.readLine();
+            } catch (IOException | InterruptedException e) {
+                // The test is over.
+            }
+        }, "answers");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A list that takes longer to read than any call may take: it is taken, and asked for once. */
+    @Test
+    void aListThatIsReadForLongIsNotAskedForAgain() throws Exception {
+        answerOne(1 << 17);
+        Discovery discovery = discovery(settings(true, 10 * SECOND), json -> {
+            reading.countDown();
+            try {
+                read.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return new ServerList(9, true, List.of(), Map.of());
+        });
+        discovery.subscribe(true);
+        queue.await("the answer is here: nothing else is due", queue.alarms::isEmpty);
+        assertTrue(reading.await(10, TimeUnit.SECONDS));
+        queue.pass(20 * SECOND);
+        assertEquals(1, counters.get(Counter.DISCOVERY_CALLS));
+        assertEquals(0, counters.get(Counter.DISCOVERY_FAILURES));
+        read.countDown();
+        queue.await("taken", () -> !heard.isEmpty());
+        assertEquals(9, heard.get(0).generation());
+        assertEquals(2, counters.get(Counter.DISCOVERY_CALLS), "and the watch goes on");
+    }
+
+    /** Whatever goes wrong in the reading, the watch goes on. */
+    @Test
+    void aReadingThatBreaksIsAFailedCall() throws Exception {
+        answerOne(1 << 17);
+        Discovery discovery = discovery(settings(true, 10 * SECOND), json -> {
+            throw new StackOverflowError("a test's");
+        });
+        discovery.subscribe(true);
+        queue.await("failed", () -> counters.get(Counter.DISCOVERY_FAILURES) == 1);
+        queue.runPosted();
+        queue.pass(5 * SECOND);
+        assertTrue(counters.get(Counter.DISCOVERY_CALLS) >= 2);
+    }
+
+    /** Lists that are pushed from a reload on are watched, though the module asks for none; pauses follow too. */
+    @Test
+    void aReloadThatPushesListsBeginsTheWatch() throws Exception {
+        Discovery discovery = discovery(settings(true, 10 * SECOND), ServerList::parse);
+        queue.pass(SECOND);
+        assertEquals(0, counters.get(Counter.DISCOVERY_CALLS));
+        discovery.retune(settings(false, 10 * SECOND));
+        queue.pass(SECOND);
+        assertEquals(1, counters.get(Counter.DISCOVERY_CALLS));
+    }
+}
