A reload's idle time of connections to servers counts at once

Cause: BackendServers.idleTime was a final field, set at the start; retune took the connect timeout alone (docs/crossings.md named it). After a SIGHUP with a shorter caps.conn_idle calls were written to connections that servers ended, until a restart.

Each lending looks at it as well (closeTooOld), so none is lent past a third of caps.conn_idle.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -47,29 +47,29 @@
     private static final long SWEEP = 10_000;
     private final DecisionQueue queue;
     private final Counters counters;
-    private final long idleTime;
     private final int window;
     private final Connections connections;
     private final DispatchListener listener;
     private final Map<String, BackendServer> servers = new HashMap<>();
     private final Map<Dispatch, Errand> out = new HashMap<>();
+    private DecisionQueue.Alarm nextSweep;
 
     public BackendServers(Connector connector, DecisionQueue queue, Counters counters, long connectTimeout,
                           long connectionIdle, Bounds bounds, DispatchListener listener) {
         this.queue = queue;
         this.counters = counters;
         connections = new Connections(connector, queue, counters, bounds.serverConnections(), servers::values);
-        retune(connectTimeout);
-        // Guards against the reset of a call that crosses the server's own closing of an idle connection.
-        idleTime = Math.max(1, connectionIdle / 3);
+        connections.retune(connectTimeout, connectionIdle);
         window = bounds.window();
         this.listener = listener;
-        queue.after(sweepEvery(), this::sweep);
+        nextSweep = queue.after(sweepEvery(), this::sweep);
     }
 
-    /** New settings; what is under way goes on as it began. */
-    public void retune(long timeout) {
-        connections.retune(timeout);
+    /** New settings; what is under way goes on as it began. Connections free for longer than they allow are closed at once. */
+    public void retune(long connectTimeout, long connectionIdle) {
+        connections.retune(connectTimeout, connectionIdle);
+        nextSweep.cancel();
+        sweep();
     }
 
     /** Learns or changes a server's address; connections to the one it had are not used again. */
@@ -167,13 +167,13 @@
     }
 
     private void sweep() {
-        servers.values().forEach(s -> connections.count(s.closeIdleSince(queue.now() - idleTime)));
-        queue.after(sweepEvery(), this::sweep);
+        servers.values().forEach(connections::closeTooOld);
+        nextSweep = queue.after(sweepEvery(), this::sweep);
     }
 
     /** Guards against a thread that does nothing else where servers drop connections almost at once. */
     private long sweepEvery() {
-        return Math.max(SWEEP, idleTime / 2);
+        return Math.max(SWEEP, connections.idleTime() / 2);
     }
 
     private static HttpRequest request(Message message, long timeout) {
--- a/balancer/src/main/java/calicochute/backend/Connections.java
+++ b/balancer/src/main/java/calicochute/backend/Connections.java
@@ -26,6 +26,7 @@
     /** One for each connection that is open or being opened. */
     private final Set<Object> open = new HashSet<>();
     private long connectTimeout;
+    private long idleTime;
 
     Connections(Connector connector, DecisionQueue queue, Counters counters, int room, Supplier<Collection<BackendServer>> servers) {
         this.connector = connector;
@@ -35,8 +36,15 @@
         this.servers = servers;
     }
 
-    void retune(long timeout) {
+    /** @param connectionIdle after which a server drops an idle connection */
+    void retune(long timeout, long connectionIdle) {
         connectTimeout = timeout > 0 ? timeout : 1_000_000;
+        // Guards against the reset of a call that crosses the server's own closing of an idle connection.
+        idleTime = Math.max(1, connectionIdle / 3);
+    }
+
+    long idleTime() {
+        return idleTime;
     }
 
     long connectTimeout() {
@@ -104,8 +112,9 @@
     }
 
     /** Guards against the next call's being written to a connection that its server ends just then. */
-    private void closeTooOld(BackendServer server) {
-        count(server.closeIdleSince(server.pool.tooOld(queue.now())));
+    void closeTooOld(BackendServer server) {
+        long now = queue.now();
+        count(server.closeIdleSince(Math.max(server.pool.tooOld(now), now - idleTime)));
     }
 
     /** Whoever waits for a connection of its own takes a free one that is there before it. */
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -142,7 +142,7 @@
         queue.post(() -> {
             succession = next;
             next.classes().forEach(c -> figures.listClass(c.name()));
-            backend.retune(changed.settings().limits().connectTimeout());
+            backend.retune(changed.settings().limits().connectTimeout(), changed.connectionIdle());
             tell(new Balancer.Retuned(next.forModule()));
             counters.count(Counter.RELOADS);
             figures.reloaded(true);
--- a/balancer/src/test/java/calicochute/backend/BackendServersTest.java
+++ b/balancer/src/test/java/calicochute/backend/BackendServersTest.java
@@ -141,6 +141,34 @@
         }
     }
 
+    /** A reload with a shorter idle time counts at once: what has been free for longer is closed, and none is lent past it between two sweeps. */
+    @Test
+    void aShorterIdleTimeCountsAtOnce() throws Exception {
+        try (Connector connector = new Connector();
+             ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            connector.start();
+            listener.setSoTimeout(30_000);
+            BackendServers servers = servers(connector, listener.getLocalPort());
+            Socket first = serve(servers, listener, null);
+            queue.now += 5_000_000;
+            serve(servers, listener, first);
+            queue.now += 5_000_000;
+            servers.retune(500_000, 6_000_000);
+            assertEquals(1, counters.get(Counter.CONNECTIONS_CLOSED_IDLE));
+            assertTrue(endedUnused(first));
+            Socket second = serve(servers, listener, null);
+            queue.now += 1_500_000;
+            serve(servers, listener, second);
+            queue.now += 2_000_000;
+            Socket third = serve(servers, listener, null);
+            assertEquals(2, counters.get(Counter.CONNECTIONS_CLOSED_IDLE), "no sweep has come yet");
+            servers.retune(500_000, 60_000_000);
+            queue.now += 10_000_000;
+            serve(servers, listener, third);
+            assertEquals(3, counters.get(Counter.CONNECTIONS_OPENED));
+        }
+    }
+
     /** A server that ends its connections right behind its answers is trusted with none for a while. */
     @Test
     void connectionsAreNotKeptForAServerThatEndsThemAtOnce() throws Exception {
