A reload while draining sets the stop's times anew

Cause: Node.drain armed the guards of open sessions and the cut of answers in pieces once, at SIGTERM. The platform ends a process by the deadlines it told last: with shorter ones that came while it drained, a session open before had its answer after the kill.

Change: Node.endBy is what both drain and reload do: guards and the cut are set by the deadlines in force.

Longer deadlines: by reading, the same lines.

--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -75,6 +75,8 @@
     private final Map<Long, Exchange> open = new HashMap<>();
     private final Map<Long, DecisionQueue.Alarm> deadlines = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>();
+    /** After SIGTERM: when answers in pieces are cut. */
+    private DecisionQueue.Alarm cut;
     private volatile int unanswered;
 
     public Node(Configuration configuration, Counters counters) throws IOException {
@@ -150,6 +152,10 @@
                 + changed.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             discovery.move(changed.discovery());
             discovery.retune(changed.settings());
+            if (staff.presence().state() == Presence.State.ENDING) {
+                // The platform ends this process by the deadlines it has just told.
+                endBy();
+            }
             // Only now: the operator's file is held against the settings in force, and may name a class that came with them. Off this thread: it reads.
             membership.files(fleet::reload);
         });
@@ -413,16 +419,24 @@
         exchange.cut(true);
     }
 
+    /** What is open must have its answer before the platform ends this process, by the deadlines in force. */
+    private void endBy() {
+        open.values().stream().filter(e -> deadlines.containsKey(e.id)).forEach(e -> {
+            dropDeadline(e);
+            guardDeadline(e);
+        });
+        if (cut != null) {
+            cut.cancel();
+        }
+        cut = queue.after(Math.max(0, staff.presence().answersBy(succession::longestDeadline) - queue.now()), this::cutAnswers);
+    }
+
     /** Accepts a little longer, unless another process does; answers everything taken, and returns. */
     public void drain() throws InterruptedException {
         CountDownLatch begun = new CountDownLatch(1);
         queue.post(() -> {
             staff.end(lives.other());
-            open.values().stream().filter(e -> deadlines.containsKey(e.id)).forEach(e -> {
-                dropDeadline(e);
-                guardDeadline(e);
-            });
-            queue.after(staff.presence().answersBy(succession::longestDeadline) - queue.now(), this::cutAnswers);
+            endBy();
             begun.countDown();
         });
         begun.await();
--- a/balancer/src/test/java/calicochute/process/RestartTest.java
+++ b/balancer/src/test/java/calicochute/process/RestartTest.java
@@ -90,6 +90,26 @@
         assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 1"));
     }
 
+    /** Shorter deadlines that come with SIGHUP while the process drains: the kill comes by them, and what was open before has its answer by them too. */
+    @Test
+    public void aStopGoesByDeadlinesThatCameAfterIt() throws Exception {
+        server.script = r -> {
+            release.await();
+            return Http.answer(200, "", "too late");
+        };
+        Files.writeString(program.config, Files.readString(program.config).replace("\"deadline\":9000000", "\"deadline\":1000000"));
+        try (Socket socket = program.connect()) {
+            socket.getOutputStream().write(Http.message(session(String.format("%016x", 1), "order").replace(": 8000", ": 2600"), new byte[1]));
+            await("dispatched", () -> server.requests.size() == 1);
+            program.process.destroy();
+            await("draining", () -> program.log().contains("INFO draining unanswered=1"));
+            program.signal("HUP");
+            assertEquals(502, Http.read(socket.getInputStream()).status());
+        }
+        assertTrue(program.process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 1"));
+    }
+
     /**
      * From SIGTERM to the process's end each request has its whole answer, and each connection in steady use ends behind an
      * answer that says so: none crosses a request.
