Settings at the edges: ticks, short deadlines, no asking time, no warm-up don't break

Cause: read for what legal but extreme settings break, then drawn by a test. Choice.dispatch holds a session for ten ticks, so `tick` 1 (µs) made the decision thread look at each held session every 10 µs (the first run of the test took 4 minutes for that), and one of a second or more looked again only at its deadline. Node.ANSWER_MARGIN (15 ms) was more than all of a short deadline. Discovery took an absent ask_every for 0, hence pauses of 0.1 s. ColdStarts.allows divides by warm_up: 0/0 for a server whose start is ahead of this clock, and it was not served until then. `decision` is not touched.

--- a/balancer/src/main/java/calicochute/discovery/Discovery.java
+++ b/balancer/src/main/java/calicochute/discovery/Discovery.java
@@ -60,7 +60,9 @@
     }
 
     private static long longestPause(Settings rules) {
-        return rules.subscribes() ? rules.rules().askEvery() / 2 : WatchClock.LONGEST;
+        // Guards against a storm where no asking time is told: none is not 0.
+        long askEvery = rules.rules().askEvery();
+        return rules.subscribes() && askEvery > 0 ? askEvery / 2 : WatchClock.LONGEST;
     }
 
     /** New settings; a watch that is under way goes on. */
--- a/balancer/src/main/java/calicochute/node/ModuleActions.java
+++ b/balancer/src/main/java/calicochute/node/ModuleActions.java
@@ -45,7 +45,7 @@
         counters.mustHold(exchange.limits.secondCopies() || !exchange.anyOut(), "a second copy of a session");
         Dispatch dispatch = exchange.dispatch(server, now, notAfter);
         if (legal) {
-            backend.send(dispatch, Math.min(timeout, exchange.deadline() - Node.ANSWER_MARGIN - now));
+            backend.send(dispatch, Math.min(timeout, exchange.deadline() - Margins.answer(exchange.patience) - now));
         } else {
             queue.post(() -> node.dispatchEnded(dispatch, Outcome.MOOT, null));
         }
@@ -63,7 +63,7 @@
     public void fail(long request) {
         Exchange exchange = open.get(request);
         if (exchange != null) {
-            node.answer(exchange, new Answer.Failed(exchange.deadline() - Node.ANSWER_MARGIN <= queue.now()));
+            node.answer(exchange, new Answer.Failed(exchange.deadline() - Margins.answer(exchange.patience) <= queue.now()));
         }
     }
 
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -45,10 +45,6 @@
  * the sockets. All but the start and the end happens on the decision thread.
  */
 public final class Node implements Sessions, DispatchListener {
-    /** An answer leaves this long before the client gives up: it has to be written and to arrive. */
-    static final long ANSWER_MARGIN = 15_000;
-    /** Later still, and only if the module has not given up by itself, the session is ended for it. */
-    private static final long GUARD_MARGIN = 5_000;
     /** A dispatch is written within this time. */
     private static final long WRITE_MARGIN = 10_000;
     /** At a stop a client that reads takes the rest of an answer within this time; a slow one would meet the kill. */
@@ -215,7 +211,7 @@
         }
         open.put(exchange.id, exchange);
         unanswered = open.size();
-        long left = (exchange.whole() ? exchange.deadline() - queue.now() : exchange.patience) - ANSWER_MARGIN;
+        long left = (exchange.whole() ? exchange.deadline() - queue.now() : exchange.patience) - Margins.answer(exchange.patience);
         if (exchange.whole()) {
             guardDeadline(exchange);
         } else {
@@ -227,7 +223,8 @@
 
     private void guardDeadline(Exchange exchange) {
         long due = Math.min(exchange.deadline(), staff.presence().answersBy(succession::longestDeadline));
-        deadlines.put(exchange.id, queue.after(Math.max(ANSWER_MARGIN, due - queue.now()) - GUARD_MARGIN, () -> overdue(exchange)));
+        deadlines.put(exchange.id, queue.after(Math.max(Margins.answer(exchange.patience), due - queue.now()) - Margins.guard(exchange.patience),
+            () -> overdue(exchange)));
     }
 
     /**
@@ -300,7 +297,7 @@
         if (exchange.closed()) {
             return;
         }
-        boolean stop = queue.now() < exchange.deadline() - ANSWER_MARGIN;
+        boolean stop = queue.now() < exchange.deadline() - Margins.answer(exchange.patience);
         counters.count(stop ? Counter.SESSIONS_ENDED_BY_STOP : Counter.SESSIONS_ENDED_BY_DEADLINE);
         answer(exchange, exchange.mayHaveRun() ? new Answer.Failed(!stop)
             : new Answer.Denied(exchange.limits.away()));
--- a/balancer/src/main/java/calicochute/settings/Configuration.java
+++ b/balancer/src/main/java/calicochute/settings/Configuration.java
@@ -28,6 +28,8 @@
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int DEFAULT_MEMORY_MB = 128;
     private static final long DEFAULT_CONNECTION_IDLE = 30_000_000;
+    /** This host's timers go in steps of about a millisecond, and its clock is far finer than any answer takes. */
+    private static final long DEFAULT_TICK = 1_000, LEAST_TICK = 1_000, MOST_TICK = 10_000;
 
     /** Reads a configuration file; every complaint names the file's faulty entry. */
     public static Configuration read(Path file) throws SettingsException {
@@ -38,6 +40,10 @@
             flatten("", object(root, "settings"), values);
             document.checkLimits();
             values.put("nonce64", seed(text(root, "seed")));
+            // Guards against a session held for want of a server that is looked at again every few microseconds, or not before its
+            // deadline, and against answer times that look all alike: the tick told is of a clock, and this host has its own.
+            long tick = SettingsParser.time(values, "tick", DEFAULT_TICK);
+            values.put("tick", Long.toString(Math.max(LEAST_TICK, Math.min(MOST_TICK, tick))));
             Settings settings = SettingsParser.parse(values);
             if (settings.classes().isEmpty()) {
                 throw new SettingsException("settings name no classes");
--- a/balancer/src/main/java/calicochute/settings/SettingsParser.java
+++ b/balancer/src/main/java/calicochute/settings/SettingsParser.java
@@ -36,7 +36,8 @@
             count("caps.max_open", Integer.MAX_VALUE, 0), count("caps.streams_per_conn", 1, 0),
             time("caps.connect_timeout", 0, 0), time("caps.max_retry_after", 0, 0));
         Rules rules = new Rules(time("obligations.answer_slack", 0, 0), time("obligations.ask_every", 0, 0),
-            decimal("obligations.cold_from", 1), time("obligations.warm_up", 0, 0),
+            // Guards against 0/0 where a server's start is ahead of this clock: no time to warm up is the least there is.
+            decimal("obligations.cold_from", 1), Math.max(1, time("obligations.warm_up", 0, 0)),
             time("obligations.drain_grace", 0, 0), decimal("obligations.fall_multiple", 1),
             time("obligations.fall", 0, 0));
         Goal goal = new Goal(decimal("goal.whole", 1), decimal("goal.worst_window", 0),
--- a/balancer/src/test/java/calicochute/discovery/DiscoveryTest.java
+++ b/balancer/src/test/java/calicochute/discovery/DiscoveryTest.java
@@ -188,4 +188,21 @@
         queue.pass(SECOND);
         assertEquals(1, counters.get(Counter.DISCOVERY_CALLS));
     }
+
+    /** Settings that tell no asking time: pauses after failures are the longest there are, not none. */
+    @Test
+    void noAskingTimeIsNoStorm() throws Exception {
+        server.close();
+        Discovery discovery = discovery(settings(true, 0), ServerList::parse);
+        long began = queue.now();
+        discovery.subscribe(true);
+        for (int i = 1; i <= 10; i++) {
+            int calls = i;
+            queue.await("refused", () -> counters.get(Counter.DISCOVERY_FAILURES) == calls);
+            while (counters.get(Counter.DISCOVERY_CALLS) == calls) {
+                queue.pass(50_000);
+            }
+        }
+        assertTrue(queue.now() - began >= 15 * SECOND, "ten calls in " + (queue.now() - began));
+    }
 }
