Lab's referee: what a killed balancer is sent until its next start is nobody's fault

The lab had killed b0-18 on purpose at 51.000 s: Referee.killed marked what it held then, but its connections are reset only once the system has taken the process down (71 to 83 ms later on a machine with a load of 27), and what the lab wrote on them meanwhile counted as taken by a live balancer. Ruled out: the program, which had had SIGKILL by then and logged no more. The check was wrong here: a rule's breach is the program's, and there was none to keep the rule.

Change: a balancer killed by the lab counts as killed from the mark to its next start (Referee.started, told by BalancerHost.start).

--- a/lab/src/main/java/calicochute/lab/emulator/BalancerHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/BalancerHost.java
@@ -96,6 +96,7 @@
             builder.environment().putAll(environment.apply(spec));
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(spec.name() + ".log").toFile()));
+            site.referee.started(spec.name());
             Process started = builder.start();
             process = started;
             started.onExit().thenAccept(p -> site.world.post(() -> ended(started)));
--- a/lab/src/main/java/calicochute/lab/referee/Referee.java
+++ b/lab/src/main/java/calicochute/lab/referee/Referee.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,6 +25,7 @@
     private final Map<String, Map<String, Long>> told = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<String, Long> pausedAt = new HashMap<>();
+    private final Set<String> killed = new HashSet<>();
     private long dispatches;
 
     private static final class Session {
@@ -66,7 +68,10 @@
 
     /** A session was written whole to a balancer; the client waits until {@code deadline}. */
     public void taken(long at, String id, String balancer, ClassRule rule, long deadline) {
-        sessions.put(id, new Session(id, balancer, rule, deadline));
+        Session session = new Session(id, balancer, rule, deadline);
+        // Its connections stay open until the system has taken the process down: what is written on them meanwhile is nobody's fault either.
+        session.over = killed.contains(balancer);
+        sessions.put(id, session);
     }
 
     /** A balancer's process was ended on purpose: what it held is nobody's fault. */
@@ -78,6 +83,12 @@
         }
         told.remove(balancer);
         pausedAt.remove(balancer);
+        killed.add(balancer);
+    }
+
+    /** A process of the balancer starts: what is taken from now on is its own. */
+    public void started(String balancer) {
+        killed.remove(balancer);
     }
 
     /**
--- a/lab/src/test/java/calicochute/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/calicochute/lab/referee/RefereeTest.java
@@ -125,6 +125,21 @@
         });
     }
 
+    /** Its connections are reset a while after the kill; the next process, and a balancer that nobody killed, have no such excuse. */
+    @Test
+    void whatAKilledBalancerIsSentBeforeItsNextStartIsNobodysFault() {
+        expect(r -> {
+            r.killed("b0");
+            r.taken(1 * MS, "a", "b0", ONCE, 8_000 * MS);
+            r.taken(2 * MS, "b", "b1", ONCE, 8_000 * MS);
+            r.unanswered(70 * MS, "a", "the balancer ended the connection");
+            r.unanswered(71 * MS, "b", "the balancer ended the connection");
+            r.started("b0");
+            r.taken(500 * MS, "c", "b0", ONCE, 8_500 * MS);
+            r.unanswered(501 * MS, "c", "the balancer ended the connection");
+        }, Rule.LOST, Rule.LOST);
+    }
+
     @Test
     void aDenyIsOnlyForWhatNeverRan() {
         expect(r -> {
