--- a/lab/src/main/java/calicochute/lab/discovery/Directory.java
+++ b/lab/src/main/java/calicochute/lab/discovery/Directory.java
@@ -32,8 +32,8 @@
         }
     }
 
-    /** One machine; {@code startedAt} is the Unix time in microseconds of its last start, 0 for long ago. */
-    public record Entry(String id, String zone, String kind, int cell, State state, long startedAt) {
+    /** One machine; {@code size} is its nominal one, 1 in the mean of its tier; {@code startedAt} is the Unix time in microseconds of its last start, 0 for long ago. */
+    public record Entry(String id, String zone, String kind, int cell, double size, State state, long startedAt) {
     }
 
     /** A list for a caller: the whole or what changed. */
--- a/lab/src/main/java/calicochute/lab/emulator/DiscoveryHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/DiscoveryHost.java
@@ -70,8 +70,8 @@
         }
     }
 
-    private static Entry entry(MachineSpec m, State state, long startedAt) {
-        return new Entry(m.id(), m.zone(), m.kind().name(), m.cell(), state, startedAt);
+    private Entry entry(MachineSpec m, State state, long startedAt) {
+        return new Entry(m.id(), m.zone(), m.kind().name(), m.cell(), site.deployment.size(m), state, startedAt);
     }
 
     InetSocketAddress at(BalancerSpec balancer) {
--- a/lab/src/main/java/calicochute/lab/emulator/Emulation.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Emulation.java
@@ -317,7 +317,14 @@
             new long[] {late.getValueAtPercentile(50), late.getValueAtPercentile(99), late.getMaxValue()}, labCpu,
             probes, site.referee.dispatches(), servers.values().stream().mapToLong(ServerHost::crossings).sum(),
             new Outcome.BadClientCount(badClients.sent(), badClients.neglected(), badClients.served()),
-            fleet == null ? Map.of() : fleet.counts(), site.dispatches);
+            fleet == null ? Map.of() : fleet.counts(), site.dispatches, coldStarts());
+    }
+
+    private Outcome.ColdStarts coldStarts() {
+        return new Outcome.ColdStarts(servers.values().stream().mapToInt(ServerHost::coldStarts).sum(),
+            servers.values().stream().mapToInt(s -> s.work().falls).sum(),
+            servers.values().stream().mapToDouble(s -> s.model().budget().worst()).max().orElse(0),
+            servers.values().stream().mapToDouble(s -> s.model().budget().worstInformed()).max().orElse(0));
     }
 
     /** The counters that a balancer printed at its ends, summed over its starts; none where it was killed. */
--- a/lab/src/main/java/calicochute/lab/emulator/ServerHost.java
+++ b/lab/src/main/java/calicochute/lab/emulator/ServerHost.java
@@ -29,6 +29,7 @@
     private boolean silent;
     private boolean stale;
     private long startedAt;
+    private int coldStarts;
 
     /** Whether a balancer has been told that a server started at a time. */
     interface Informed {
@@ -86,6 +87,11 @@
         return startedAt;
     }
 
+    /** How often it has come back cold. */
+    int coldStarts() {
+        return coldStarts;
+    }
+
     boolean up() {
         return up;
     }
@@ -157,6 +163,7 @@
         }
         up = true;
         startedAt = site.world.now();
+        coldStarts++;
         model.start(startedAt);
     }
 
--- a/lab/src/main/java/calicochute/lab/emulator/ServerWork.java
+++ b/lab/src/main/java/calicochute/lab/emulator/ServerWork.java
@@ -42,6 +42,8 @@
     long turnedAway;
     /** Dispatches that came from another zone. */
     long crossings;
+    /** How often it fell over while cold, whoever was to blame. */
+    int falls;
 
     ServerWork(ServerHost server, Site site, ServerModel model, UniformRandomProvider chance) {
         this.server = server;
@@ -157,6 +159,7 @@
                 // Nothing more is heard of it.
             }
             case FELL_OVER -> {
+                falls++;
                 site.referee.fellOver(now, spec.id(), model.informedShare());
                 server.crash();
             }
--- a/lab/src/main/java/calicochute/lab/emulator/Settings.java
+++ b/lab/src/main/java/calicochute/lab/emulator/Settings.java
@@ -98,7 +98,7 @@
         for (Directory.Entry e : page.entries()) {
             instances.addObject().put("instanceId", e.id()).put("hostPort", Site.text(address.apply(e.id())))
                 .put("zone", e.zone()).put("machineType", e.kind()).put("cell", e.cell())
-                .put("lifecycle", e.state().word()).put("weight", 1.0).put("startedAtMs", e.startedAt() / 1000);
+                .put("lifecycle", e.state().word()).put("weight", e.size()).put("startedAtMs", e.startedAt() / 1000);
         }
         return root;
     }
--- a/lab/src/main/java/calicochute/lab/plan/Deployment.java
+++ b/lab/src/main/java/calicochute/lab/plan/Deployment.java
@@ -62,6 +62,12 @@
         return machines.stream().filter(m -> m.tier() == tier).toList();
     }
 
+    /** The nominal size that discovery tells: cores over the tier's mean, so 1 where all are alike; not the speed drawn. */
+    public double size(MachineSpec machine) {
+        return machine.kind().cores() / machines(machine.tier()).stream().mapToInt(m -> m.kind().cores()).average()
+            .orElseThrow();
+    }
+
     /** Mean work of a request, in microseconds of a core of speed 1, over all tiers. */
     public double meanWork() {
         return scenario.classes().stream().mapToDouble(c -> c.share() * c.work().micros()).sum();
--- a/lab/src/main/java/calicochute/lab/result/Measured.java
+++ b/lab/src/main/java/calicochute/lab/result/Measured.java
@@ -186,6 +186,10 @@
         figures.put("zone_crossings_per_request", outcome.crossings() / (double) n);
         figures.put("probes_per_request", outcome.probes() / (double) n);
         figures.put("breaches", (double) outcome.breaches().size());
+        figures.put("cold_starts", (double) outcome.cold().starts());
+        figures.put("cold_falls", (double) outcome.cold().falls());
+        figures.put("cold_window_worst", outcome.cold().worst());
+        figures.put("cold_window_worst_told", outcome.cold().worstInformed());
         figures.put("bad_clients", (double) outcome.badClients().sent());
         figures.put("bad_clients_neglected", (double) outcome.badClients().neglected());
         figures.put("bad_clients_served", (double) outcome.badClients().served());
--- a/lab/src/main/java/calicochute/lab/server/ColdBudget.java
+++ b/lab/src/main/java/calicochute/lab/server/ColdBudget.java
@@ -16,6 +16,8 @@
     private final Deque<Sent> window = new ArrayDeque<>();
     private double sum;
     private double informed;
+    private double worst;
+    private double worstInformed;
 
     private record Sent(long at, double work, boolean informed) {
     }
@@ -40,7 +42,10 @@
             informed -= old.informed ? old.work : 0;
         }
         double allowed = multiple * capacity * span / meanWork;
-        return sum / meanWork > allowed + 2 * Math.sqrt(allowed) + 2;
+        double budget = allowed + 2 * Math.sqrt(allowed) + 2;
+        worst = Math.max(worst, sum / meanWork / budget);
+        worstInformed = Math.max(worstInformed, informed / meanWork / budget);
+        return sum / meanWork > budget;
     }
 
     /** The part of the work in the span that balancers sent who knew. */
@@ -48,6 +53,17 @@
         return sum <= 0 ? 0 : informed / sum;
     }
 
+    /** The most work of any span so far, as a part of what was allowed at its end; over 1 it was too much. */
+    public double worst() {
+        return worst;
+    }
+
+    /** The same of work from balancers that had been told of the start. */
+    public double worstInformed() {
+        return worstInformed;
+    }
+
+    /** Forgets what has come, as a new start does; the worst of all spans stays. */
     public void clear() {
         window.clear();
         sum = 0;
--- a/lab/src/main/java/calicochute/lab/server/ServerModel.java
+++ b/lab/src/main/java/calicochute/lab/server/ServerModel.java
@@ -299,6 +299,10 @@
         return budget.informedShare();
     }
 
+    public ColdBudget budget() {
+        return budget;
+    }
+
     public int inWork() {
         return held;
     }
--- a/lab/src/test/java/calicochute/lab/discovery/DirectoryTest.java
+++ b/lab/src/test/java/calicochute/lab/discovery/DirectoryTest.java
@@ -17,7 +17,7 @@
 
 class DirectoryTest {
     private static Entry entry(int id, State state, long at) {
-        return new Entry("s" + id, "z", "k", 0, state, at);
+        return new Entry("s" + id, "z", "k", 0, 1, state, at);
     }
 
     /** However seldom a caller asks, the changes it is told make its list the one that discovery holds. */
--- a/lab/src/test/java/calicochute/lab/plan/PlanTest.java
+++ b/lab/src/test/java/calicochute/lab/plan/PlanTest.java
@@ -51,6 +51,24 @@
         assertEquals(fewer, more.subList(0, fewer.size()));
     }
 
+    /** What discovery tells of machines of one and four cores, and of machines that are all alike. */
+    @Test
+    void nominalSizesAreCoresOverTheTiersMean() throws Exception {
+        String alike = ScenarioReader.write(scenario(""));
+        Deployment same = Deployment.draw(ScenarioReader.parse("s", alike), new Streams(7));
+        same.machines().forEach(m -> assertEquals(1, same.size(m)));
+        Deployment mixed = Deployment.draw(ScenarioReader.parse("s", alike.replaceFirst("cores: 2", "cores: 5")), new Streams(7));
+        for (int t = 0; t < mixed.scenario().tiers().size(); t++) {
+            assertEquals(1, mixed.machines(t).stream().mapToDouble(mixed::size).average().orElse(0), 1e-9);
+        }
+        assertTrue(mixed.machines().stream().anyMatch(m -> m.kind().cores() == 5));
+        for (var one : mixed.machines()) {
+            for (var other : mixed.machines(one.tier())) {
+                assertEquals((double) one.kind().cores() / other.kind().cores(), mixed.size(one) / mixed.size(other), 1e-9);
+            }
+        }
+    }
+
     private static Set<String> keys(List<Arrival> arrivals) {
         return arrivals.stream().map(a -> a.at() + " " + a.classIndex() + " " + a.tenant() + " " + a.work() + " "
             + a.patience()).collect(Collectors.toSet());
--- a/lab/src/test/java/calicochute/lab/server/ServerModelTest.java
+++ b/lab/src/test/java/calicochute/lab/server/ServerModelTest.java
@@ -156,6 +156,11 @@
         }
         assertEquals(Admission.FELL_OVER, pushed.offer(0, 18, S, S, 0, true));
         assertEquals(15 / 18.0, pushed.informedShare(), 1e-9);
+        assertEquals(18 / 17.0, pushed.budget().worst(), 1e-9);
+        assertEquals(15 / 17.0, pushed.budget().worstInformed(), 1e-9);
+        pushed.start(60 * S);
+        pushed.offer(60 * S, 23, S, S, 0, true);
+        assertEquals(18 / 17.0, pushed.budget().worst(), 1e-9, "the worst of all starts");
         // The same over a longer time does no harm, and neither does it to a warm machine.
         ServerModel slowly = warm();
         slowly.start(0);
