Windows of experiments wait for the deadlines in force

Cause: Trial.deadline was the longest deadline at the moment the trial began.

Change: Trial asks for the longest as it is (classes that there have been stay in the table, so it never shrinks). Not changed: the ledger of outcomes (`outcomes.Ledger`), another module.

Measured: TrialTest passes; seen to fail without the change (no session of ten counted).

--- a/balancer/src/main/java/calicochute/fleet/Trial.java
+++ b/balancer/src/main/java/calicochute/fleet/Trial.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
 /**
  * One experiment at one balancer: assigns and counts its sessions, tells the windows that are whole to those who may seal them, and seals them where it is its
@@ -57,7 +58,7 @@
     private final Windows windows;
     private final List<String> peers;
     private final String me;
-    private final long deadline;
+    private final LongSupplier deadline;
     private final Host host;
     private final Stopper stopper;
     private final Register register;
@@ -72,10 +73,10 @@
     private Collection<String> seen = List.of();
 
     /**
-     * @param deadline the longest of any class, microseconds
+     * @param deadline the longest of any class as they are now, microseconds: a reload may lengthen it in the midst of a window
      * @param kept the register's state as last kept, null for none
      */
-    Trial(Experiment experiment, Windows windows, List<String> peers, String me, long start, long deadline, boolean remembers, byte[] kept, Host host) {
+    Trial(Experiment experiment, Windows windows, List<String> peers, String me, long start, LongSupplier deadline, boolean remembers, byte[] kept, Host host) {
         this.experiment = experiment;
         this.windows = windows;
         this.peers = peers;
@@ -170,7 +171,7 @@
         }
         long window = state.window() + 1;
         Map<String, Counts> heard = gathered.getOrDefault(window, Map.of());
-        long due = windows.end(window) + deadline + SETTLE;
+        long due = windows.end(window) + deadline.getAsLong() + SETTLE;
         boolean all = heard.keySet().containsAll(live);
         if (state.over(experiment) || now < due || !all && now < due + GRACE || proposedFor == window && proposedWith == heard.size()) {
             return;
