--- a/balancer/src/main/java/calicochute/fleet/Trial.java
+++ b/balancer/src/main/java/calicochute/fleet/Trial.java
@@ -76,7 +76,8 @@
      * @param deadline the longest of any class as they are now, microseconds: a reload may lengthen it in the midst of a window
      * @param kept the register's state as last kept, null for none
      */
-    Trial(Experiment experiment, Windows windows, List<String> peers, String me, long start, LongSupplier deadline, boolean remembers, byte[] kept, Host host) {
+    Trial(Experiment experiment, Windows windows, List<String> peers, String me, long start, LongSupplier deadline, boolean remembers,
+          byte[] kept, Host host) {
         this.experiment = experiment;
         this.windows = windows;
         this.peers = peers;
--- a/balancer/src/test/java/calicochute/process/CustomerSettingsTest.java
+++ b/balancer/src/test/java/calicochute/process/CustomerSettingsTest.java
@@ -55,11 +55,13 @@
     /** One class, no tenants, all times short or none, nothing that may be done twice or withdrawn. */
     @Test
     public void smallAndShort() throws Exception {
-        serves(c -> c.replaceAll("\"accounts\":\\[.*?\\],", "").replaceAll("(?s)\"classes\":\\[.*\\],", "\"classes\":[{\"name\":\"order\",\"deadline\":80000}],")
+        serves(c -> c.replaceAll("\"accounts\":\\[.*?\\],", "")
+            .replaceAll("(?s)\"classes\":\\[.*\\],", "\"classes\":[{\"name\":\"order\",\"deadline\":80000}],")
             .replace("\"conn_idle\":30000000", "\"conn_idle\":1").replace("\"connect_timeout\":500000", "\"connect_timeout\":10000000")
             .replace("\"max_attempts\":3", "\"max_attempts\":1").replace("\"max_open\":20000", "\"max_open\":1")
             .replace("\"retry_after\":true", "\"retry_after\":false").replace("\"cancel\":true", "\"cancel\":false")
-            .replace("\"warm_up\":1000", "\"warm_up\":0").replace("\"fall\":3000000", "\"fall\":0").replace("\"ask_every\":1000000", "\"ask_every\":1")
+            .replace("\"warm_up\":1000", "\"warm_up\":0").replace("\"fall\":3000000", "\"fall\":0")
+            .replace("\"ask_every\":1000000", "\"ask_every\":1")
             .replace("\"tick\":5000", "\"tick\":1"), 80, "order");
     }
 
@@ -69,7 +71,8 @@
         StringBuilder classes = new StringBuilder();
         StringBuilder tenants = new StringBuilder("{\"name\":\"library\",\"portion\":0.0,\"allowance_per_s\":0.0}");
         for (int i = 0; i < 30; i++) {
-            classes.append(i == 0 ? "" : ",").append("{\"name\":\"c").append(i).append("\",\"deadline\":86400000000,\"effect\":\"by_key\",\"window\":")
+            classes.append(i == 0 ? "" : ",").append("{\"name\":\"c").append(i)
+                .append("\",\"deadline\":86400000000,\"effect\":\"by_key\",\"window\":")
                 .append(i * 1000).append(",\"points\":0}");
             tenants.append(i < 19 ? ",{\"name\":\"t" + i + "\"}" : "");
         }
--- a/balancer/src/test/java/calicochute/process/RestartTest.java
+++ b/balancer/src/test/java/calicochute/process/RestartTest.java
@@ -90,7 +90,7 @@
         assertTrue(program.log(), program.log().contains("sessions_ended_by_stop 1"));
     }
 
-    /** Shorter deadlines that come with SIGHUP while the process drains: the kill comes by them, and what was open before has its answer by them too. */
+    /** Shorter deadlines that come with SIGHUP while the process drains: the kill comes by them, and so do answers to what was open. */
     @Test
     public void aStopGoesByDeadlinesThatCameAfterIt() throws Exception {
         server.script = r -> {
--- a/balancer/src/test/java/calicochute/settings/CustomerSettingsTest.java
+++ b/balancer/src/test/java/calicochute/settings/CustomerSettingsTest.java
@@ -66,12 +66,13 @@
         }
     }
 
-    /** A server that started by another clock, a little ahead of this one's: with no time to warm up it is served at once, not once this clock is there. */
+    /** A server that started by a clock a little ahead of this one: with no time to warm up it is not left out until this clock is there. */
     @Test
     void aStartAheadOfThisClockIsNoReasonToWaitWhereNothingWarmsUp() throws Exception {
         SplittableRandom random = new SplittableRandom(1);
         Path file = folder.resolve("plain.json");
-        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"settings\":{\"classes\":[{\"name\":\"c0\","
+        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\","
+            + "\"settings\":{\"classes\":[{\"name\":\"c0\","
             + "\"deadline\":1000000}],\"obligations\":{\"warm_up\":0,\"fall\":3000000,\"fall_multiple\":3}}}");
         World world = new World(random, Configuration.read(file));
         world.list(new Backend("b0", "", 0, 1, BackendState.READY, 0, "k"));
@@ -128,14 +129,17 @@
             + "\",\"tick\":" + one(random, 1, 5 * MS, SECOND, EVER) + ",\"accounts\":[" + tenants + "],\"classes\":[" + classes + "],\"caps\":{"
             + "\"cancel\":" + random.nextBoolean() + ",\"retry_after\":" + random.nextBoolean() + ",\"max_attempts\":"
             + one(random, 1, 1, 2, 3, 1000) + ",\"max_open\":" + one(random, 0, 1, 5, Integer.MAX_VALUE) + ",\"connect_timeout\":"
-            + one(random, 0, 1, 200 * MS, EVER) + ",\"conn_idle\":" + one(random, 1, 50 * MS, EVER) + ",\"max_retry_after\":" + one(random, 0, 1, EVER)
+            + one(random, 0, 1, 200 * MS, EVER) + ",\"conn_idle\":" + one(random, 1, 50 * MS, EVER)
+            + ",\"max_retry_after\":" + one(random, 0, 1, EVER)
             + "},\"obligations\":{" + (random.nextInt(3) == 0 ? "" : "\"ask_every\":" + one(random, 0, 1, 10 * MS, 3600 * SECOND, EVER) + ",")
             + "\"cold_from\":" + one(random, "0", "0.3", "1", "1e300") + ",\"warm_up\":" + one(random, 0, 1, SECOND, EVER)
             + ",\"fall\":" + one(random, 0, 1, SECOND, EVER) + ",\"fall_multiple\":" + one(random, "0", "1", "3", "1e300") + ",\"drain_grace\":0},"
             + "\"goal\":{\"whole\":" + one(random, "0", "1") + "},\"prices\":{\"cross_zone\":" + one(random, "0", "0.2", "1e300") + "}}";
-        String limits = random.nextInt(3) == 0 ? "" : "\"limits\":{\"sockets\":" + one(random, 1, 256, 1 << 20) + ",\"memory_mb\":" + one(random, 1, 32, 4096) + "},";
+        String limits = random.nextInt(3) == 0 ? "" : "\"limits\":{\"sockets\":" + one(random, 1, 256, 1 << 20)
+            + ",\"memory_mb\":" + one(random, 1, 32, 4096) + "},";
         Path file = folder.resolve("balancer.json");
-        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"" + Long.toHexString(random.nextLong())
+        Files.writeString(file, "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\""
+            + Long.toHexString(random.nextLong())
             + "\"," + limits + "\"settings\":" + settings + "}");
         Configuration read = Configuration.read(file);
         Bounds bounds = read.bounds();
@@ -213,7 +217,8 @@
                 if (dice < 45) {
                     arrive();
                 } else if (dice < 75 && !out.isEmpty()) {
-                    end(out.get(random.nextInt(out.size())), random.nextInt(3) > 0 ? Outcome.OK : Outcome.values()[random.nextInt(Outcome.values().length)]);
+                    end(out.get(random.nextInt(out.size())), random.nextInt(3) > 0 ? Outcome.OK
+                        : Outcome.values()[random.nextInt(Outcome.values().length)]);
                 } else if (dice < 80) {
                     relist();
                 } else if (dice < 82 && !out.isEmpty()) {
@@ -300,7 +305,8 @@
             int servers = kind == ListKind.UNAVAILABLE ? 0 : (int) one(random, 0, 1, 3, 40);
             for (int i = 0; i < servers; i++) {
                 long started = one(random, 0, 0, now - SECOND, now, now + SECOND, -SECOND, now + EVER / 100);
-                entries.add(new Backend("b" + i, "z" + i % 3, i / 2, one(random, 1, 1, 0, -1, 1000), BackendState.values()[random.nextInt(3)], started, "k"));
+                entries.add(new Backend("b" + i, "z" + i % 3, i / 2, one(random, 1, 1, 0, -1, 1000),
+                    BackendState.values()[random.nextInt(3)], started, "k"));
             }
             if (kind == ListKind.FULL || kind == ListKind.RESTORED) {
                 listed.clear();
