Where descriptors lack a newcomer is kept; a stop needs no class that is not there yet

Frontend.opened ended the newcomer itself once Room had shrunk below the clients there were, though it has its descriptor already.

Change: the newcomer is ended only above the number promised. No switch in the hook. The state of the start has a lock of its own: a reload holds the command's.

--- a/balancer/src/main/java/calicochute/cli/ServeCommand.java
+++ b/balancer/src/main/java/calicochute/cli/ServeCommand.java
@@ -22,6 +22,7 @@
     private final ConfigurationOption configuration = new ConfigurationOption();
     /** The file's text as it was taken last. */
     private Configuration running;
+    private final Object starting = new Object();
     private Startup startup = Startup.begun();
 
     @Override
@@ -48,18 +49,22 @@
         Log.info("serving", "name=" + told.name() + " tier=" + told.settings().tier() + " address=" + address);
     }
 
-    private synchronized void move(UnaryOperator<Startup> event) {
-        startup = event.apply(startup);
-        notifyAll();
+    private void move(UnaryOperator<Startup> event) {
+        synchronized (starting) {
+            startup = event.apply(startup);
+            starting.notifyAll();
+        }
     }
 
     /** What a stop has to do, once the start is over. */
-    private synchronized Startup.Step stopping() throws InterruptedException {
-        move(Startup::stop);
-        while (startup.step() == Startup.Step.WAIT) {
-            wait();
+    private Startup.Step stopping() throws InterruptedException {
+        synchronized (starting) {
+            move(Startup::stop);
+            while (startup.step() == Startup.Step.WAIT) {
+                starting.wait();
+            }
+            return startup.step();
         }
-        return startup.step();
     }
 
     /** The folder that outlives a process and is the balancer's own; none unless the platform names one. */
@@ -83,16 +88,17 @@
     private void stop(Node node, Counters counters, Thread starter) {
         int status = CommandLine.DONE;
         try {
-            switch (stopping()) {
-                case DRAIN -> node.drain();
-                case FAIL -> {
-                    // It still says why; its own end would wait for this one.
-                    starter.join(LAST_WORDS_MS);
-                    status = CommandLine.FAILED;
-                }
-                default -> {
-                    return;
-                }
+            // No switch: it has a class of its own, which is not there yet and may find no descriptor to be read with.
+            Startup.Step step = stopping();
+            if (step == Startup.Step.LEAVE) {
+                return;
+            }
+            if (step == Startup.Step.DRAIN) {
+                node.drain();
+            } else {
+                // It still says why; its own end would wait for this one.
+                starter.join(LAST_WORDS_MS);
+                status = CommandLine.FAILED;
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/balancer/src/main/java/calicochute/cli/Startup.java
+++ b/balancer/src/main/java/calicochute/cli/Startup.java
@@ -50,10 +50,9 @@
         if (!stopping) {
             return Step.NOTHING;
         }
-        return switch (phase) {
-            case STARTING -> Step.WAIT;
-            case SERVING -> Step.DRAIN;
-            case FAILED -> failedFirst ? Step.LEAVE : Step.FAIL;
-        };
+        if (phase == Phase.FAILED) {
+            return failedFirst ? Step.LEAVE : Step.FAIL;
+        }
+        return phase == Phase.STARTING ? Step.WAIT : Step.DRAIN;
     }
 }
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -134,14 +134,21 @@
         return counters;
     }
 
-    /** Counts a client's connection in, and ends another one if there are too many. */
+    /**
+     * Counts a client's connection in, and ends another one if there are too many; the newcomer itself only above what was promised:
+     * where descriptors are fewer it has its own already.
+     */
     synchronized void opened(ClientConnection connection) {
         counters.count(Counter.CLIENTS_ACCEPTED);
         connections.add(connection);
         connected = connections.size();
         if (connected > room.at(now())) {
             ClientConnection least = leastNeeded(Set.of(connection));
-            (least == null ? connection : least).makeRoom();
+            if (least != null) {
+                least.makeRoom();
+            } else if (connected > most) {
+                connection.makeRoom();
+            }
         }
     }
 
@@ -163,7 +170,8 @@
         }
     }
 
-    private synchronized boolean makeRoom() {
+    /** Descriptors lack: true if some will soon be free. */
+    synchronized boolean makeRoom() {
         if (!room.lacks(now(), connected)) {
             return true;
         }
