What a dispatch finds ended still says what its end says: a spare's pause, an idle time

Cause: Pool.take (line 87) dropped a free connection that was closed by then, and Pool.ended, which comes just after it, no longer found it (NOT_HERE). So where a dispatch came between the I/O thread's close and the decision thread's word of it, a refused spare brought no pause and no spares_failed, and a kept connection's end taught no idle time and was not counted. Change: what is found closed is kept aside until its end is heard of; a spare's pause begins at the finding.

--- a/balancer/src/main/java/calicochute/pool/Pool.java
+++ b/balancer/src/main/java/calicochute/pool/Pool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
 import java.util.function.Predicate;
@@ -31,6 +32,8 @@
     private final Predicate<C> open;
     /** The youngest first. */
     private final ArrayDeque<Kept<C>> free = new ArrayDeque<>();
+    /** Closed when they were to be lent; that they ended is heard of later. */
+    private final List<Kept<C>> foundEnded = new ArrayList<>();
     private boolean spareWanted;
     private boolean spareOpening;
     private long noSparesUntil = Long.MIN_VALUE;
@@ -85,7 +88,12 @@
         for (Iterator<Kept<C>> i = free.iterator(); i.hasNext();) {
             Kept<C> kept = i.next();
             if (!open.test(kept.connection)) {
+                // What its end says is said when it is heard of; only a spare's refusal counts at once, lest another follows it.
                 i.remove();
+                foundEnded.add(kept);
+                if (!kept.used) {
+                    spareEnded(now);
+                }
             } else if (kept.restedAt <= now) {
                 i.remove();
                 return lend(kept, 0, now);
@@ -176,19 +184,30 @@
 
     /** A connection has ended; it is lent no more. {@code byServer}: not by this side, for what came on it. */
     public Ended ended(C connection, boolean byServer, long now) {
-        for (Iterator<Kept<C>> i = free.iterator(); i.hasNext();) {
+        Kept<C> kept = remove(free, connection);
+        if (kept == null) {
+            kept = remove(foundEnded, connection);
+        }
+        if (kept == null) {
+            return Ended.NOT_HERE;
+        }
+        if (!kept.used) {
+            spareEnded(now);
+        } else if (byServer) {
+            endedAfter(now - kept.since, now);
+        }
+        return kept.used ? Ended.KEPT : Ended.SPARE;
+    }
+
+    private static <C> Kept<C> remove(Collection<Kept<C>> from, C connection) {
+        for (Iterator<Kept<C>> i = from.iterator(); i.hasNext();) {
             Kept<C> kept = i.next();
             if (kept.connection == connection) {
                 i.remove();
-                if (!kept.used) {
-                    spareEnded(now);
-                } else if (byServer) {
-                    endedAfter(now - kept.since, now);
-                }
-                return kept.used ? Ended.KEPT : Ended.SPARE;
+                return kept;
             }
         }
-        return Ended.NOT_HERE;
+        return null;
     }
 
     /** Takes out those that have been free since that time or longer, for the caller to close. */
--- a/balancer/src/test/java/calicochute/backend/EndedAtOnceTest.java
+++ b/balancer/src/test/java/calicochute/backend/EndedAtOnceTest.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -165,6 +166,37 @@
         }
     }
 
+    /** Heard of by the dispatch that would have taken it, before the end itself: that brings the pause too. */
+    @Test
+    void aSpareThatIsFoundEndedBringsItsPause() throws Exception {
+        try (Socket kept = serve(servers, listener, null)) {
+            Runnable rested = sendOneThatWaits();
+            Socket spare = accept();
+            runPosted();
+            queue.now += SETTLE;
+            rested.run();
+            answer(kept, 1);
+            close(spare);
+            Runnable ended = queue.posted.poll(30, TimeUnit.SECONDS);
+            // The I/O thread knows, this one not yet: the next one finds it so.
+            sendOneThatWaits();
+            ended.run();
+            assertEquals(List.of(1L, 1L), counted(Counter.SPARES_OPENED, Counter.SPARES_FAILED));
+        }
+    }
+
+    /** The same of a connection that has served: how long its server keeps one is learnt from it. */
+    @Test
+    void aKeptConnectionThatIsFoundEndedIsLearntFrom() throws Exception {
+        Socket kept = serve(servers, listener, null);
+        queue.now += 300_000;
+        close(kept);
+        Runnable ended = queue.posted.poll(30, TimeUnit.SECONDS);
+        servers.send(dispatch(), LONG);
+        ended.run();
+        assertEquals(1, counters.get(Counter.CONNECTIONS_ENDED_EARLY));
+    }
+
     /** The other order: its first call had been read by the server. That one may have run, and what is kept is kept on. */
     @Test
     void aSpareThatEndsWithItsFirstCallMayHaveRunThat() throws Exception {
