A dispatch's first time-out is not late by the making of its alarm

Errand.await read the clock, then made the lambda, which the virtual machine links at its first use: 49 ms late in one young process on a busy core (0.3 to 0.6 ms otherwise). The deadline's guard is 10 ms behind, so it answered, the dispatch counted as withdrawn, and the module learnt nothing of a silent server. With a pause of 20 ms put in that place it fails the same way each time. Change: the alarm is made before the clock is read.

--- a/balancer/src/main/java/calicochute/backend/Errand.java
+++ b/balancer/src/main/java/calicochute/backend/Errand.java
@@ -85,7 +85,9 @@
     }
 
     private void await(long due) {
-        timeout = queue.after(due - queue.now(), () -> end(progress.timedOut(), null));
+        // First: made at its first use, in a young process that took 49 ms of a busy core, by which the alarm was late.
+        Runnable over = () -> end(progress.timedOut(), null);
+        timeout = queue.after(due - queue.now(), over);
     }
 
     /** Ends it if a body in pieces has not moved, though this side has something to move or waits for it. */
