An Error on the decision thread is counted and logged like any other fault

Cause: DecisionThread.run caught RuntimeException and AssertionError; the executor swallows all else (a class that can't be read, no memory) without a word. Change: every Error is counted (module_faults) and logged, and the thread goes on. Measured: DecisionThreadTest: two of four fail without it (0 counted for 2), four pass with it.

--- a/balancer/src/main/java/calicochute/node/DecisionThread.java
+++ b/balancer/src/main/java/calicochute/node/DecisionThread.java
@@ -48,7 +48,7 @@
     private void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | AssertionError e) {
+        } catch (RuntimeException | Error e) {
             counters.count(Counter.MODULE_FAULTS);
             StackTraceElement[] trace = e.getStackTrace();
             Log.warn("decision-fault", e + (trace.length > 0 ? " at " + trace[0] : ""));
