Two hanging calls after a move are forced in virtual time, not by the machine's

Change: the same in DiscoveryTest, on real connections with the clock in the test's hand: as strict (the first two keep their turn, are let go by the third's answer), and the third's time is asserted as well. The one in DiscoveryCrossingsTest goes.

--- a/balancer/src/test/java/calicochute/discovery/DiscoveryTest.java
+++ b/balancer/src/test/java/calicochute/discovery/DiscoveryTest.java
@@ -1,6 +1,7 @@
 package calicochute.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicochute.connection.Connector;
@@ -16,6 +17,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -205,4 +208,59 @@
         }
         assertTrue(queue.now() - began >= 15 * SECOND, "ten calls in " + (queue.now() - began));
     }
+
+    /** The next connection to the server, once a whole request has come on it: its call is under way. */
+    private Socket called(int call) throws Exception {
+        while (counters.get(Counter.DISCOVERY_CALLS) < call) {
+            queue.pass(50_000);
+        }
+        Socket[] socket = new Socket[1];
+        CountDownLatch done = new CountDownLatch(1);
+        Thread accepts = new Thread(() -> {
+            try {
+                socket[0] = server.accept();
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket[0].getInputStream(), StandardCharsets.US_ASCII));
+                for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) { }
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            } finally {
+                done.countDown();
+                queue.post(() -> { });
+            }
+        }, "accepts");
+        accepts.start();
+        queue.await("called", () -> done.getCount() == 0);
+        return socket[0];
+    }
+
+    /** SIGHUP, and the first two calls at the new address hang: a third goes out in time beside them, and neither has left the line. */
+    @Test
+    void aMoveAndTwoFirstCallsThatHang() throws Exception {
+        Discovery discovery = discovery(settings(true, 10 * SECOND), ServerList::parse);
+        InetSocketAddress there = (InetSocketAddress) server.getLocalSocketAddress();
+        discovery.move(new InetSocketAddress(there.getAddress(), 1));
+        discovery.startFrom(2);
+        long moved = queue.now();
+        discovery.move(there);
+        try (Socket first = called(1); Socket second = called(2); Socket third = called(3)) {
+            assertTrue(queue.now() - moved <= 3_600_000, "" + (queue.now() - moved));
+            for (Socket waits : List.of(first, second)) {
+                waits.setSoTimeout(50);
+                assertThrows(SocketTimeoutException.class, () -> waits.getInputStream().read(), "keeps its turn");
+                waits.setSoTimeout(30_000);
+            }
+            String list = "{\"generation\":9,\"reset\":true,\"instances\":[]}";
+            third.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).getBytes(StandardCharsets.US_ASCII));
+            queue.await("told", () -> !heard.isEmpty());
+            assertTrue(ended(first) && ended(second), "let go");
+        }
+    }
+
+    private static boolean ended(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
 }
--- a/balancer/src/test/java/calicochute/process/DiscoveryCrossingsTest.java
+++ b/balancer/src/test/java/calicochute/process/DiscoveryCrossingsTest.java
@@ -7,7 +7,6 @@
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
-import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.util.List;
@@ -176,32 +175,4 @@
         assertTrue(discovery.requests.get(0).firstLine().contains("since=2&"));
         assertTrue("the second is let go", Program.ended(discovery.connections.get(1)));
     }
-
-    /** SIGHUP, and the first two calls at the new address hang: a third goes out beside them, and neither has left the line. */
-    @Test
-    public void aMoveAndTwoFirstCallsThatHang() throws Exception {
-        run((number, r) -> number == 1 ? first() : silence());
-        await("watched", () -> discovery.requests.size() == 2);
-        Peer old = discovery;
-        discovery = numbered((number, r) -> {
-            if (number == 3) {
-                crossed.await();
-                return news();
-            }
-            return silence();
-        });
-        Files.writeString(program.config, Files.readString(program.config).replace(old.address(), discovery.address()));
-        program.signal("HUP");
-        await("a third", () -> discovery.requests.size() == 3);
-        for (int i = 0; i < 2; i++) {
-            Socket waits = discovery.connections.get(i);
-            waits.setSoTimeout(50);
-            assertThrows("keeps its turn", SocketTimeoutException.class, () -> waits.getInputStream().read());
-        }
-        crossed.countDown();
-        told();
-        assertTrue("the first is let go", Program.ended(discovery.connections.get(0)));
-        assertTrue("the second is let go", Program.ended(discovery.connections.get(1)));
-        old.close();
-    }
 }
