--- a/balancer/src/test/java/calicochute/process/ReadyTable.java
+++ b/balancer/src/test/java/calicochute/process/ReadyTable.java
@@ -45,7 +45,8 @@
 
     public static void main(String[] args) throws Exception {
         ReadyTable table = new ReadyTable(Integer.parseInt(args[0]), args[1]);
-        System.out.println("| list known at the start | calls to discovery | ready within 10 s | to ready, s: median, nine in ten, last | to the first connection, s: median, last "
+        System.out.println("| list known at the start | calls to discovery | ready within 10 s "
+            + "| to ready, s: median, nine in ten, last | to the first connection, s: median, last "
             + "| to the first answer, s: median, last | answered 200, denied, else, broken | load of the machine before |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
         for (boolean known : new boolean[] {true, false}) {
@@ -62,7 +63,8 @@
         String load = Files.readString(Path.of("/proc/loadavg")).split(" ")[0];
         CountDownLatch release = new CountDownLatch(1);
         List<Started> all = new ArrayList<>();
-        try (Peer server = new Peer(r -> Http.answer(200, "", "a map")); Peer discovery = discovery(calls, server, release); Socket none = new Socket()) {
+        try (Peer server = new Peer(r -> Http.answer(200, "", "a map"));
+             Peer discovery = discovery(calls, server, release); Socket none = new Socket()) {
             // Bound and not listening: whoever calls is refused, and nobody else gets the port.
             none.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             String address = calls == Calls.REFUSED ? "127.0.0.1:" + none.getLocalPort() : discovery.address();
@@ -89,8 +91,10 @@
             all.forEach(one -> one.process.destroyForcibly());
         }
         long within = all.stream().filter(one -> one.readyMs >= 0 && one.readyMs <= WITHIN_MS).count();
-        System.out.printf(Locale.ROOT, "| %s | %s | %d of %d | %s, %s, %s | %s, %s | %s, %s | %d, %d, %d, %d | %s |%n", known ? "yes" : "no", calls.name().toLowerCase(Locale.ROOT),
-            within, processes, at(all, 0.5, 'r'), at(all, 0.9, 'r'), at(all, 1, 'r'), at(all, 0.5, 'l'), at(all, 1, 'l'), at(all, 0.5, 'a'), at(all, 1, 'a'),
+        System.out.printf(Locale.ROOT, "| %s | %s | %d of %d | %s, %s, %s | %s, %s | %s, %s | %d, %d, %d, %d | %s |%n",
+            known ? "yes" : "no", calls.name().toLowerCase(Locale.ROOT),
+            within, processes, at(all, 0.5, 'r'), at(all, 0.9, 'r'), at(all, 1, 'r'), at(all, 0.5, 'l'), at(all, 1, 'l'),
+            at(all, 0.5, 'a'), at(all, 1, 'a'),
             sum(all, 0), sum(all, 1), sum(all, 2), sum(all, 3), load);
     }
 
@@ -113,7 +117,8 @@
 
     /** The smallest time that this part of the processes kept to, in seconds; a dash where fewer got there. */
     private static String at(List<Started> all, double part, char what) {
-        long[] times = all.stream().mapToLong(one -> what == 'r' ? one.readyMs : what == 'l' ? one.listensMs : one.answeredMs).map(t -> t < 0 ? Long.MAX_VALUE : t)
+        long[] times = all.stream().mapToLong(one -> what == 'r' ? one.readyMs : what == 'l' ? one.listensMs : one.answeredMs)
+            .map(t -> t < 0 ? Long.MAX_VALUE : t)
             .sorted().toArray();
         long time = times[(int) Math.ceil(part * times.length) - 1];
         return time == Long.MAX_VALUE ? "-" : String.format(Locale.ROOT, "%.2f", time / 1e3);
@@ -142,7 +147,8 @@
             try (ServerSocket free = new ServerSocket(0, 1, host)) {
                 port = free.getLocalPort();
             }
-            String text = Program.configuration(port, 0, 1024, discovery, server).replace("\"127.0.0.1:" + port + "\"", "\"" + host.getHostAddress() + ":" + port + "\"")
+            String text = Program.configuration(port, 0, 1024, discovery, server)
+                .replace("\"127.0.0.1:" + port + "\"", "\"" + host.getHostAddress() + ":" + port + "\"")
                 .replace("\"" + discovery.address() + "\"", "\"" + address + "\"");
             Files.writeString(config, known ? text : text.replaceAll("\"known\":\\{.*?\\]\\},", ""));
         }
--- a/lab/src/main/java/calicochute/lab/discovery/Directory.java
+++ b/lab/src/main/java/calicochute/lab/discovery/Directory.java
@@ -32,7 +32,10 @@
         }
     }
 
-    /** One machine; {@code size} is its nominal one, 1 in the mean of its tier; {@code startedAt} is the Unix time in microseconds of its last start, 0 for long ago. */
+    /**
+     * One machine; {@code size} is its nominal one, 1 in the mean of its tier; {@code startedAt} is the Unix time in microseconds of its last
+     * start, 0 for long ago.
+     */
     public record Entry(String id, String zone, String kind, int cell, double size, State state, long startedAt) {
     }
 
