--- a/review/standins/BalancerProcess.java
+++ b/review/standins/BalancerProcess.java
@@ -80,6 +80,8 @@
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.redirectInput(new File("/dev/null"));
         process = builder.start();
+        // Also where the case itself is ended.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     InetSocketAddress address() {
--- a/review/standins/Discovery.java
+++ b/review/standins/Discovery.java
@@ -28,15 +28,19 @@
         return "127.0.0.1:" + socket.getLocalPort();
     }
 
-    static String entry(String id, String address, String lifecycle, long startedAtMs) {
+    private static String entry(String id, String address, String lifecycle, long startedAtMs, String kind) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + address
-                + "\",\"zone\":\"a\",\"machineType\":\"front-std\",\"cell\":0,\"lifecycle\":\"" + lifecycle
+                + "\",\"zone\":\"a\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"" + lifecycle
                 + "\",\"weight\":1.0,\"startedAtMs\":" + startedAtMs + "}";
     }
 
     /** Lists a server, or changes what is listed of it. */
-    synchronized void set(String id, String address, String lifecycle, long startedAtMs) {
-        String entry = entry(id, address, lifecycle, startedAtMs);
+    void set(String id, String address, String lifecycle, long startedAtMs) {
+        set(id, address, lifecycle, startedAtMs, "front-std");
+    }
+
+    synchronized void set(String id, String address, String lifecycle, long startedAtMs, String kind) {
+        String entry = entry(id, address, lifecycle, startedAtMs, kind);
         if (lifecycle.equals("Gone")) {
             entries.remove(id);
         } else {
