Bodies of all sessions share one memory budget, and each is held once

Cause: bodies up to 64 KiB were buffered whole and bounded one by one, not together, and each stood in the heap two or three times. Evidence: a heap dump under this load (trial, heap of 400 MB): 31.2 MB in Body.Buffered of the requests, 28.3 MB the same bytes again in SessionHandler.requestBody, 11.8 MB HttpCore's buffers; calls that only Connection.latestCall refers to. The stack traces end in Call.finish and SessionHandler.consume, "Java heap space". Ruled out: a leak (21,865 requests served with the larger heap).

Change: ByteBudget, a sixth of memory_mb and at most a third of the heap; ReadWindow reserves what is read beyond 8 KiB of a body, and a body without room is streamed, so nothing waits for memory; SessionMemory frees a session's reservations. Buffered bodies leave their pipe, responses are written from the array that was read, ended calls and the bodies of ended sessions are let go, bodies of responses other than 200 are dropped. ReadAheadBudget keeps its policy and counts by ByteBudget.

Why it works: what bodies hold is at most the budget plus 8 KiB each.

--- a/balancer/src/main/java/calicochute/backend/BackendServers.java
+++ b/balancer/src/main/java/calicochute/backend/BackendServers.java
@@ -147,7 +147,7 @@
     /** Executes a dispatch: sends its request to its server and waits at most this long for the response. */
     public void send(Dispatch dispatch, long timeoutMicros) {
         counters.count(Counter.DISPATCHES_SENT);
-        Message message = dispatch.exchange.message;
+        Message message = dispatch.exchange.message();
         DispatchExecution execution = new DispatchExecution(
                 connections,
                 windowBytes,
--- a/balancer/src/main/java/calicochute/backend/DispatchExecution.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchExecution.java
@@ -89,7 +89,7 @@
         serverStartedAtMicros = server.startedAtMicros;
         this.request = request;
         this.dispatch = dispatch;
-        body = dispatch.exchange.message.body();
+        body = dispatch.exchange.message().body();
         this.timeoutMicros = timeoutMicros;
         this.listener = listener;
         state = new DispatchState(
@@ -274,7 +274,7 @@
             request.setHeader(
                     BackendServers.REMAINING_TIME_HEADER, Long.toString(Math.max(1, (deadline() - now) / 1000)));
         }
-        connection.stream(request, body, windowBytes, new CallListener() {
+        connection.stream(request, body, windowBytes, dispatch.exchange.memory().newResponse(), new CallListener() {
             @Override
             public void requestWritten() {
                 listener.requestWritten();
--- a/balancer/src/main/java/calicochute/connection/Call.java
+++ b/balancer/src/main/java/calicochute/connection/Call.java
@@ -1,7 +1,9 @@
 package calicochute.connection;
 
 import calicochute.exchange.Body;
+import calicochute.exchange.ByteBudget;
 import calicochute.exchange.Pipe;
+import calicochute.exchange.ReadWindow;
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -39,6 +41,11 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean requestWrittenNotified = new AtomicBoolean();
     private final Pipe responseBody = new Pipe();
+    private final ReadWindow responseWindow;
+    private CapacityChannel capacity;
+    /** Bytes that may be read, but could not be granted yet because HttpCore had given no capacity channel. */
+    private int ungrantedBytes;
+
     private ByteBuffer remainingBody;
     private boolean readyListenerSet;
     /** The last byte of the request body was passed to HttpCore. */
@@ -54,6 +61,7 @@
 
     private EndpointDetails endpoint;
     private Runnable beforeSendingListener = () -> {};
+    private Runnable endListener = () -> {};
     private long sentBytesBefore;
     private HttpResponse response;
     private long responseLength = -1;
@@ -67,14 +75,30 @@
      *
      * @param maxBodyBytes longest body that is accepted
      * @param windowBytes how many bytes of a streamed response are read ahead; 0 if the response is never streamed
+     * @param share reserves the memory of a response that may be streamed; else null
      */
-    record Limits(long maxBodyBytes, int windowBytes) {}
+    record Limits(long maxBodyBytes, int windowBytes, ByteBudget.Share share) {
+        /** A response that is always buffered whole. */
+        static Limits buffered(int maxBodyBytes) {
+            return new Limits(maxBodyBytes, 0, null);
+        }
+
+        /** A response that is streamed if it is long, or if there is no memory to buffer it. */
+        static Limits streamed(int windowBytes, ByteBudget.Share share) {
+            return new Limits(Bounds.MAX_BODY_BYTES, windowBytes, share);
+        }
+
+        private boolean mayStream() {
+            return windowBytes > 0;
+        }
+    }
 
     Call(HttpRequest request, Body body, Limits limits, CallListener listener) {
         this.request = request;
         this.body = body;
         this.limits = limits;
         this.listener = listener;
+        responseWindow = limits.mayStream() ? new ReadWindow(responseBody, limits.share, limits.windowBytes) : null;
         remainingBody =
                 body instanceof Body.Buffered buffered ? ByteBuffer.wrap(buffered.bytes()) : ByteBuffer.allocate(0);
         requestBodyProduced = body instanceof Body.Buffered && !remainingBody.hasRemaining();
@@ -87,6 +111,11 @@
         beforeSendingListener = listener;
     }
 
+    /** Sets the listener called on an I/O thread when the call has ended and its result was reported. */
+    void onEnd(Runnable listener) {
+        endListener = listener;
+    }
+
     /** Sets the connection whose sent bytes are counted, and records how many were sent before this call. */
     void attach(EndpointDetails connection) {
         endpoint = connection;
@@ -153,26 +182,55 @@
         response = head;
         connectionReusable = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, head, context);
         responseComplete = entity == null;
+        if (limits.mayStream() && !mayStream(head)) {
+            // Nobody needs the body of such a response.
+            responseBody.cancel();
+        }
     }
 
-    /**
-     * The longest body accepted for this response: one that is not a 200 is buffered completely, so it has to be short.
-     */
+    /** The longest body accepted for this response: one that is not a 200 is discarded, so it has to be short. */
     private long maxBodyBytes(HttpResponse head) {
-        return limits.windowBytes == 0 || mayStream(head) ? limits.maxBodyBytes : Bounds.MAX_BUFFERED_BODY_BYTES;
+        return !limits.mayStream() || mayStream(head) ? limits.maxBodyBytes : Bounds.MAX_BUFFERED_BODY_BYTES;
     }
 
     private boolean mayStream(HttpResponse head) {
-        return limits.windowBytes > 0 && head.getCode() == HttpStatus.SC_OK;
+        return limits.mayStream() && head.getCode() == HttpStatus.SC_OK;
     }
 
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        if (limits.windowBytes == 0) {
+        if (!limits.mayStream()) {
             channel.update(Integer.MAX_VALUE);
+            return;
+        }
+        capacity = channel;
+        grant(channel, ungrantedBytes);
+        ungrantedBytes = 0;
+        responseBody.setCreditListener(bytes -> {
+            responseWindow.bytesTaken();
+            grant(channel, bytes);
+        });
+        if (!mayStream(response) || responseStreaming) {
+            return;
+        }
+        int bytes = responseWindow.extendToBuffer(responseLength);
+        if (bytes > 0) {
+            grant(channel, bytes);
+        } else {
+            startStreaming();
+        }
+    }
+
+    /** Passes the response on before its end was received. */
+    private void startStreaming() {
+        responseStreaming = true;
+        int bytes = responseWindow.beginStreaming();
+        if (capacity == null) {
+            ungrantedBytes = bytes;
         } else {
-            responseBody.setCreditListener(bytes -> grant(channel, bytes));
+            grant(capacity, bytes);
         }
+        listener.responseStarted(response, new Body.Streamed(responseBody, responseLength));
     }
 
     private static void grant(CapacityChannel channel, int bytes) {
@@ -196,9 +254,7 @@
                 && (responseLength > Bounds.MAX_BUFFERED_BODY_BYTES
                         || responseLength < 0 && total > Bounds.MAX_BUFFERED_UNKNOWN_LENGTH_BYTES
                         || total > Bounds.MAX_BUFFERED_BODY_BYTES)) {
-            responseStreaming = true;
-            responseBody.shrinkWindow(Bounds.INITIAL_WINDOW_BYTES - limits.windowBytes);
-            listener.responseStarted(response, new Body.Streamed(responseBody, responseLength));
+            startStreaming();
         }
     }
 
@@ -235,7 +291,7 @@
             boolean requestStarted = bodyConsumed || endpoint.getSentBytesCount() > sentBytesBefore;
             listener.ended(new CallResult(
                     responseComplete ? response : null,
-                    responseStreaming || !responseComplete ? new byte[0] : responseBody.toByteArray(),
+                    responseStreaming || !responseComplete ? new byte[0] : responseBody.takeAll(),
                     requestStarted,
                     requestWrittenNotified.get(),
                     responseComplete && connectionReusable && requestBodyProduced));
@@ -244,6 +300,7 @@
                 // server ended it.
                 responseBody.abort();
             }
+            endListener.run();
         }
     }
 
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -1,8 +1,9 @@
 package calicochute.connection;
 
 import calicochute.exchange.Body;
-import calicochute.settings.Bounds;
+import calicochute.exchange.ByteBudget;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
@@ -22,7 +23,10 @@
     private volatile boolean closed;
     private volatile boolean awaitsResponse;
     private volatile boolean receivedUnsolicitedData;
-    private volatile Call latestCall;
+    /** The call in progress, or null. A call that has ended is not kept: it refers to the bodies of its session. */
+    private final AtomicReference<Call> currentCall = new AtomicReference<>();
+
+    private volatile boolean used;
 
     Connection(Consumer<Connection> onClosed) {
         this.onClosed = onClosed;
@@ -61,30 +65,33 @@
      * Sends a request and buffers its complete response; the listener is called on an I/O thread when the call ends.
      */
     public void call(HttpRequest request, byte[] body, int maxBodyBytes, Consumer<CallResult> listener) {
-        call(request, new Body.Buffered(body), new Call.Limits(maxBodyBytes, 0), listener::accept);
+        call(request, new Body.Buffered(body), Call.Limits.buffered(maxBodyBytes), listener::accept);
     }
 
     /**
      * Sends a request whose response may be long: beyond a threshold it is streamed, with at most {@code windowBytes}
-     * read ahead.
+     * read ahead. The memory for its body is reserved from {@code share}; of a response that is not a 200 the body is
+     * discarded.
      */
-    public void stream(HttpRequest request, Body body, int windowBytes, CallListener listener) {
-        call(request, body, new Call.Limits(Bounds.MAX_BODY_BYTES, windowBytes), listener);
+    public void stream(HttpRequest request, Body body, int windowBytes, ByteBudget.Share share, CallListener listener) {
+        call(request, body, Call.Limits.streamed(windowBytes, share), listener);
     }
 
     private void call(HttpRequest request, Body body, Call.Limits limits, CallListener listener) {
         Call call = new Call(request, body, limits, listener);
+        call.onEnd(() -> currentCall.compareAndSet(call, null));
         // Set only when the first byte is sent: data received before that belongs to no call, even if it is read
         // after this call was enqueued.
         call.beforeSending(() -> awaitsResponse = true);
-        latestCall = call;
+        used = true;
+        currentCall.set(call);
         call.attach(((HttpConnection) session.getHandler()).getEndpointDetails());
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
     /** Called on the I/O thread after output was written. */
     void outputWritten() {
-        Call call = latestCall;
+        Call call = currentCall.get();
         if (call != null) {
             call.outputWritten();
         }
@@ -92,7 +99,7 @@
 
     /** Whether a call was ever made on this connection. */
     public boolean used() {
-        return latestCall != null;
+        return used;
     }
 
     /** Whether a call has sent its first byte and the head of its final response was not received yet. */
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -15,7 +15,11 @@
     /** The client's ID for the session. */
     public final String clientId;
 
-    public final Message message;
+    /** How long the client waits for the response. */
+    public final long clientTimeoutMicros;
+
+    private Message message;
+    private final SessionMemory memory;
     /** Index of the request class in the settings. */
     public final int classIndex;
     /** Index of the tenant in the settings, or -1 if no tenants are configured. */
@@ -25,8 +29,6 @@
 
     /** Whether the client marked the request as a retry. */
     public final boolean clientRetry;
-    /** How long the client waits for the response. */
-    public final long clientTimeoutMicros;
     /**
      * When the last request byte was received; until then, when the session began. Microseconds of the decision queue.
      */
@@ -51,6 +53,7 @@
             boolean clientRetry,
             long receivedAt,
             long clientTimeoutMicros,
+            SessionMemory memory,
             ResponseSender responseSender) {
         this.id = id;
         this.clientId = clientId;
@@ -61,10 +64,27 @@
         this.clientRetry = clientRetry;
         this.receivedAt = receivedAt;
         this.clientTimeoutMicros = clientTimeoutMicros;
+        this.memory = memory;
         requestComplete = message.body() instanceof Body.Buffered;
         this.responseSender = responseSender;
     }
 
+    /** The request; without its body once the session has ended. */
+    public Message message() {
+        return message;
+    }
+
+    /** The memory reserved for the bodies of this session; any thread may call. */
+    public SessionMemory memory() {
+        return memory;
+    }
+
+    /** Called when the session is closed and has no pending dispatch: frees the request body. */
+    public void end() {
+        message = message.withoutBody();
+        memory.endSession();
+    }
+
     /** Whether the last byte of the request was received; the client timeout starts then. */
     public boolean requestComplete() {
         return requestComplete;
--- a/balancer/src/main/java/calicochute/exchange/Pipe.java
+++ b/balancer/src/main/java/calicochute/exchange/Pipe.java
@@ -35,6 +35,16 @@
     private CreditListener creditListener;
     private Runnable readyListener;
 
+    /** A pipe with a complete body. The bytes are not copied, so they must not be modified. */
+    public static Pipe complete(byte[] body) {
+        Pipe pipe = new Pipe();
+        pipe.buffers.add(ByteBuffer.wrap(body));
+        pipe.bufferedBytes = body.length;
+        pipe.totalBytes = body.length;
+        pipe.completed = true;
+        return pipe;
+    }
+
     /** Appends a copy of the remaining bytes, or drops them if the pipe was cancelled. */
     public void put(ByteBuffer bytes) {
         Runnable listener;
@@ -146,15 +156,20 @@
         }
     }
 
-    /** All buffered bytes, for a body that is complete. */
-    public synchronized byte[] toByteArray() {
+    /**
+     * Takes all buffered bytes of a complete body that is not to be passed on by this pipe, which does not hold them
+     * any longer. They are not credited: the source has no more to read.
+     */
+    public synchronized byte[] takeAll() {
         byte[] result = new byte[bufferedBytes];
         int offset = 0;
-        for (ByteBuffer buffer : buffers) {
+        while (!buffers.isEmpty()) {
+            ByteBuffer buffer = buffers.remove();
             int length = buffer.remaining();
-            buffer.duplicate().get(result, offset, length);
+            buffer.get(result, offset, length);
             offset += length;
         }
+        bufferedBytes = 0;
         return result;
     }
 
--- a/balancer/src/main/java/calicochute/fleet/SessionTracker.java
+++ b/balancer/src/main/java/calicochute/fleet/SessionTracker.java
@@ -113,7 +113,7 @@
      * the session.
      */
     private static String callId(Exchange exchange) {
-        return exchange.message.fields().stream()
+        return exchange.message().fields().stream()
                 .filter(field -> field.name().equalsIgnoreCase("Idempotency-Key"))
                 .map(field -> field.value())
                 .findFirst()
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -1,5 +1,6 @@
 package calicochute.frontend;
 
+import calicochute.exchange.ByteBudget;
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.SessionListener;
 import calicochute.lifecycle.Lifecycle;
@@ -40,6 +41,7 @@
     private final ConnectionLimit connectionLimit;
     private final int windowBytes;
     private final ReadAheadBudget readAhead;
+    private final ByteBudget bodyBudget;
     private final ResetDetector resetDetector;
     /** Open client connections, oldest first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -72,6 +74,7 @@
         connectionLimit = new ConnectionLimit(maxConnections);
         windowBytes = configuration.bounds().windowBytes();
         readAhead = new ReadAheadBudget(configuration.bounds().readAheadBytes());
+        bodyBudget = new ByteBudget(configuration.bounds().bodyBytes());
         resetDetector = new ResetDetector(queue);
         address = configuration.listen();
         this.inherited = inherited;
@@ -143,6 +146,11 @@
         return readAhead;
     }
 
+    /** Budget for the bodies of requests and responses, over all sessions. */
+    ByteBudget bodyBudget() {
+        return bodyBudget;
+    }
+
     /** Detects resets on connections that are not being read. */
     ResetDetector resetDetector() {
         return resetDetector;
--- a/balancer/src/main/java/calicochute/frontend/ReadAheadBudget.java
+++ b/balancer/src/main/java/calicochute/frontend/ReadAheadBudget.java
@@ -1,5 +1,6 @@
 package calicochute.frontend;
 
+import calicochute.exchange.ByteBudget;
 import java.util.function.IntPredicate;
 
 /**
@@ -16,36 +17,23 @@
     /** Size of one reservation. Reserved bytes are taken from the other bodies, whether they arrive or not. */
     private static final int STEP_BYTES = 1 << 14;
 
-    private final int maxShareBytes;
-    private int availableBytes;
+    private final ByteBudget budget;
 
     ReadAheadBudget(int totalBytes) {
-        availableBytes = totalBytes;
-        maxShareBytes = totalBytes / MAX_SHARE_DIVISOR;
+        budget = new ByteBudget(totalBytes, totalBytes / MAX_SHARE_DIVISOR);
     }
 
     Share newShare() {
         return new Share();
     }
 
-    synchronized int availableBytes() {
-        return availableBytes;
-    }
-
-    private synchronized int reserve(int bytes) {
-        int reserved = Math.min(bytes, availableBytes);
-        availableBytes -= reserved;
-        return reserved;
-    }
-
-    private synchronized void release(int bytes) {
-        availableBytes += bytes;
+    int availableBytes() {
+        return budget.availableBytes();
     }
 
     /** The part of the budget reserved for one body; any thread may call. */
     final class Share implements AutoCloseable {
-        private int reservedBytes;
-        private boolean closed;
+        private final ByteBudget.Share share = budget.newShare();
 
         private Share() {}
 
@@ -54,27 +42,23 @@
          * with that number, declines them.
          */
         synchronized int reserveMore(IntPredicate grantAhead) {
-            int reserved = closed ? 0 : reserve(Math.min(STEP_BYTES, maxShareBytes - reservedBytes));
+            int reserved = share.reserve(STEP_BYTES);
             if (reserved > 0 && !grantAhead.test(reserved)) {
-                release(reserved);
-                reserved = 0;
+                share.releaseAllBut(share.reservedBytes() - reserved);
+                return 0;
             }
-            reservedBytes += reserved;
             return reserved;
         }
 
         /** Releases all but the given number of bytes, which are still in use. */
-        synchronized void releaseAllBut(int usedBytes) {
-            int unused = Math.max(0, reservedBytes - usedBytes);
-            reservedBytes -= unused;
-            release(unused);
+        void releaseAllBut(int usedBytes) {
+            share.releaseAllBut(usedBytes);
         }
 
         /** Called when the body has ended. */
         @Override
-        public synchronized void close() {
-            closed = true;
-            releaseAllBut(0);
+        public void close() {
+            share.close();
         }
     }
 }
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -4,8 +4,10 @@
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Pipe;
+import calicochute.exchange.ReadWindow;
 import calicochute.exchange.Response;
 import calicochute.exchange.ResponseSender;
+import calicochute.exchange.SessionMemory;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Log;
 import calicochute.settings.Bounds;
@@ -45,6 +47,8 @@
     private final AtomicLong grantedBytes = new AtomicLong();
 
     private final ReadAheadBudget.Share readAheadShare;
+    private final SessionMemory memory;
+    private final ReadWindow window;
     private volatile CapacityChannel capacity;
     /** Content length of the request body; -1 if it is unknown. */
     private long declaredLength = -1;
@@ -71,6 +75,8 @@
         this.connection = connection;
         frontend = connection.frontend;
         readAheadShare = frontend.readAhead().newShare();
+        memory = new SessionMemory(frontend.bodyBudget());
+        window = new ReadWindow(requestBody, memory.request(), frontend.windowBytes());
     }
 
     @Override
@@ -94,9 +100,13 @@
     public void updateCapacity(CapacityChannel channel) throws IOException {
         requestBody.setCreditListener(bytes -> {
             readAheadShare.releaseAllBut(requestBody.withheldCredit());
+            window.bytesTaken();
             grant(channel, bytes);
         });
         capacity = channel;
+        if (exchange == null && !responding && bufferFurther()) {
+            return;
+        }
         if (!wantsWatching()) {
             connection.updatePaused(this::windowUsedUp);
         } else if (!grantReadAhead()) {
@@ -105,6 +115,31 @@
         }
     }
 
+    /** Reads further to buffer the body, or if there is no memory for that streams it and returns false. */
+    private boolean bufferFurther() throws IOException {
+        int bytes = window.extendToBuffer(declaredLength);
+        if (bytes > 0) {
+            grant(capacity, bytes);
+            return true;
+        }
+        frontend.counters().count(Counter.REQUESTS_STREAMED_FOR_ROOM);
+        startStreaming();
+        return false;
+    }
+
+    /** Starts the session before the last byte of its request was received. */
+    private void startStreaming() throws IOException {
+        int bytes = window.beginStreaming();
+        try {
+            startSession(new Body.Streamed(requestBody, declaredLength));
+        } catch (HttpException e) {
+            throw new IOException(e);
+        }
+        if (bytes > 0) {
+            grant(capacity, bytes);
+        }
+    }
+
     /** Whether a client waits for the response and no part of the body was passed on yet. */
     @Override
     public boolean wantsWatching() {
@@ -162,8 +197,7 @@
             } else {
                 requestBody.put(data);
                 if (exchange == null && !responding && requestBody.totalBytes() > Bounds.MAX_BUFFERED_BODY_BYTES) {
-                    requestBody.shrinkWindow(Bounds.INITIAL_WINDOW_BYTES - frontend.windowBytes());
-                    startSession(new Body.Streamed(requestBody, declaredLength));
+                    startStreaming();
                 }
             }
         } catch (HttpException e) {
@@ -195,7 +229,7 @@
         if (exchange != null) {
             frontend.sessions().requestCompleted(exchange);
         } else if (!responding) {
-            startSession(new Body.Buffered(requestBody.toByteArray()));
+            startSession(new Body.Buffered(requestBody.takeAll()));
         }
     }
 
@@ -209,7 +243,7 @@
             return;
         }
         try {
-            exchange = frontend.parser().parse(request, body, frontend.nowMicros(), this);
+            exchange = frontend.parser().parse(request, body, frontend.nowMicros(), memory, this);
         } catch (SessionParser.BadInputException e) {
             reject(e);
             return;
@@ -270,10 +304,7 @@
             streamingResponse = true;
         } else {
             byte[] bytes = ((Body.Buffered) body).bytes();
-            Pipe pipe = new Pipe();
-            pipe.put(ByteBuffer.wrap(bytes));
-            pipe.complete();
-            responseBody = pipe;
+            responseBody = Pipe.complete(bytes);
             length = bytes.length;
         }
         responding = true;
@@ -363,6 +394,10 @@
     public void releaseResources() {
         released = true;
         readAheadShare.close();
+        memory.releaseConnection();
+        if (exchange == null) {
+            memory.endSession();
+        }
         // Covers ends that HttpCore reports in no other way.
         endStreaming(responseProduced);
     }
--- a/balancer/src/main/java/calicochute/frontend/SessionParser.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionParser.java
@@ -7,6 +7,7 @@
 import calicochute.exchange.Field;
 import calicochute.exchange.Message;
 import calicochute.exchange.ResponseSender;
+import calicochute.exchange.SessionMemory;
 import calicochute.settings.SettingsHistory;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,7 +57,7 @@
     }
 
     /** Creates the exchange of a request, or throws if the request is not a valid session. */
-    Exchange parse(HttpRequest request, Body body, long nowMicros, ResponseSender responseSender)
+    Exchange parse(HttpRequest request, Body body, long nowMicros, SessionMemory memory, ResponseSender responseSender)
             throws BadInputException {
         String clientId = singleHeader(request, "X-Txn", true);
         if (!CLIENT_ID.matcher(clientId).matches()) {
@@ -91,6 +92,7 @@
                 "1".equals(singleHeader(request, "X-Resent", false)),
                 nowMicros,
                 clientTimeoutMicros,
+                memory,
                 responseSender);
     }
 
--- a/balancer/src/main/java/calicochute/metrics/Counter.java
+++ b/balancer/src/main/java/calicochute/metrics/Counter.java
@@ -21,6 +21,8 @@
     SESSIONS_IN_PIECES,
     /** Responses passed on while their body was still arriving from the backend server. */
     ANSWERS_IN_PIECES,
+    /** Request bodies streamed only because there was no memory to buffer them. */
+    REQUESTS_STREAMED_FOR_ROOM,
     /** Streamed responses aborted because their body made too little progress. */
     ANSWERS_CUT,
     CLIENTS_ACCEPTED,
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -240,11 +240,13 @@
             counters.count(Counter.SESSIONS_CLIENT_GONE);
             countEnd(exchange, OperatorStats.SessionEnd.GONE);
             exchange.abandon();
+            exchange.end();
             return;
         }
         if (openCount >= exchange.limits.maxOpen()) {
             counters.count(Counter.SESSIONS_OVER_LIMIT);
             respond(exchange, new Response.Denied(exchange.limits.advisedRetryAfter()));
+            exchange.end();
             return;
         }
         if (!clientIds.add(exchange.clientId)) {
@@ -252,6 +254,7 @@
             counters.count(Counter.SESSIONS_BAD_INPUT);
             exchange.respond(new Response.Duplicate());
             countEnd(exchange, OperatorStats.SessionEnd.FAILED);
+            exchange.end();
             return;
         }
         openSessions.put(exchange.id, exchange);
@@ -402,6 +405,7 @@
             clientIds.remove(exchange.clientId);
             deadlineGuards.cancel(exchange);
             fleet.sessionRetired(exchange);
+            exchange.end();
             openCount = openSessions.size();
         }
     }
--- a/balancer/src/main/java/calicochute/settings/Bounds.java
+++ b/balancer/src/main/java/calicochute/settings/Bounds.java
@@ -10,9 +10,13 @@
  * @param windowBytes how much of a streamed body is read before its receiver has taken it
  * @param readAheadBytes bytes that may be read beyond that, over all client connections, to notice that a client has
  *     closed its connection
+ * @param bodyBytes bytes that all bodies together may hold beyond {@link #INITIAL_WINDOW_BYTES} of each
  */
-public record Bounds(int clientConnections, int serverConnections, int windowBytes, int readAheadBytes) {
-    /** A body up to this length is buffered whole before it is passed on; a longer one is streamed. */
+public record Bounds(int clientConnections, int serverConnections, int windowBytes, int readAheadBytes, int bodyBytes) {
+    /**
+     * A body up to this length is buffered whole before it is passed on, if there is memory for it; any other is
+     * streamed.
+     */
     public static final int MAX_BUFFERED_BODY_BYTES = 1 << 16;
     /** Greatest length of a body. */
     public static final int MAX_BODY_BYTES = 1 << 25;
@@ -24,10 +28,13 @@
     public static final int MAX_HEADERS = 64;
     /** Size of a connection's read buffer. */
     public static final int READ_BUFFER_BYTES = 4096;
-    /** Window of a body for which it is not yet known whether it will be buffered or streamed. */
-    public static final int INITIAL_WINDOW_BYTES = MAX_BUFFERED_BODY_BYTES + READ_BUFFER_BYTES;
+    /** What is read of a body before memory is reserved for it, and the least window of a streamed body. */
+    public static final int INITIAL_WINDOW_BYTES = 8192;
 
-    private static final int MIN_WINDOW_BYTES = 8192;
+    /** Bodies may hold this part of the memory limit. */
+    private static final int BODY_MEMORY_DIVISOR = 6;
+    /** Bodies may hold this part of the heap, whatever the memory limit is. */
+    private static final int BODY_HEAP_DIVISOR = 3;
     /** Greatest number of connections to the admin address, idle ones included. */
     public static final int ADMIN_CONNECTIONS = 32;
     /**
@@ -49,14 +56,25 @@
      *
      * @param sockets greatest number of open sockets
      * @param admin whether there is an admin address
-     * @param memoryMb memory limit of the process in MiB; a sixth of it is for bodies in transit
+     * @param memoryMb memory limit of the process in MiB
      */
     public static Bounds of(int sockets, boolean admin, int memoryMb) {
+        return of(sockets, admin, memoryMb, Runtime.getRuntime().maxMemory());
+    }
+
+    /** As above, with the greatest size of the heap, whatever the memory limit is. */
+    static Bounds of(int sockets, boolean admin, int memoryMb, long heapBytes) {
         int reserved = RESERVED_DESCRIPTORS + (admin ? ADMIN_CONNECTIONS + ADMIN_DESCRIPTORS : 0);
         int each = Math.max(MIN_CONNECTIONS, (sockets - reserved) / 2);
+        long memoryBytes = (long) memoryMb << 20;
+        long bodyBytes = Math.min(memoryBytes / BODY_MEMORY_DIVISOR, heapBytes / BODY_HEAP_DIVISOR);
         // Each client connection may have a request body and a response body in transit.
-        long share = ((long) memoryMb << 20) / 6 / (2L * each);
-        return new Bounds(each, each, (int) Math.max(MIN_WINDOW_BYTES, Math.min(MAX_BUFFERED_BODY_BYTES, share)), (int)
-                Math.min(MAX_READ_AHEAD_BYTES, ((long) memoryMb << 20) / 16));
+        long share = bodyBytes / (2L * each);
+        return new Bounds(
+                each,
+                each,
+                (int) Math.max(INITIAL_WINDOW_BYTES, Math.min(MAX_BUFFERED_BODY_BYTES, share)),
+                (int) Math.min(MAX_READ_AHEAD_BYTES, memoryBytes / 16),
+                (int) Math.min(Integer.MAX_VALUE, bodyBytes));
     }
 }
--- a/balancer/src/test/java/calicochute/backend/BackendTestBase.java
+++ b/balancer/src/test/java/calicochute/backend/BackendTestBase.java
@@ -7,11 +7,13 @@
 import calicochute.decision.Balancer.Limits;
 import calicochute.decision.Balancer.Outcome;
 import calicochute.exchange.Body;
+import calicochute.exchange.ByteBudget;
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Dispatch;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Message;
 import calicochute.exchange.Response;
+import calicochute.exchange.SessionMemory;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.settings.Bounds;
@@ -87,6 +89,7 @@
                 false,
                 queue.now(),
                 900_000,
+                new SessionMemory(new ByteBudget(1 << 20)),
                 response -> {});
         return exchange.addDispatch("s", queue.now(), queue.now + SEND_WINDOW_MICROS);
     }
--- a/balancer/src/test/java/calicochute/connection/CallTest.java
+++ b/balancer/src/test/java/calicochute/connection/CallTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertTrue;
 
 import calicochute.exchange.Body;
+import calicochute.exchange.ByteBudget;
 import calicochute.exchange.Pipe;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -82,7 +83,7 @@
             Call call = new Call(
                     new BasicHttpRequest("POST", "/"),
                     new Body.Streamed(body, 1000),
-                    new Call.Limits(1000, 8192),
+                    Call.Limits.streamed(8192, new ByteBudget(0).newShare()),
                     results::add);
             StalledChannel connection = new StalledChannel();
             call.attach(connection);
@@ -105,7 +106,7 @@
         Call call = new Call(
                 new BasicHttpRequest("POST", "/"),
                 new Body.Streamed(body, 1000),
-                new Call.Limits(1000, 8192),
+                Call.Limits.streamed(8192, new ByteBudget(0).newShare()),
                 results::add);
         StalledChannel connection = new StalledChannel();
         call.attach(connection);
--- a/balancer/src/test/java/calicochute/process/BalancerProcess.java
+++ b/balancer/src/test/java/calicochute/process/BalancerProcess.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A balancer that runs in a child process with the configuration of a small site. */
 final class BalancerProcess {
@@ -85,6 +87,28 @@
                 "export JAVA_TOOL_OPTIONS=-Xmx" + heap + "; ", 1024, freePort(), discovery, addresses(servers));
     }
 
+    /** With the JVM flags of the deploy file and a configuration that is edited before the start. */
+    static BalancerProcess withDeployedFlags(
+            UnaryOperator<String> edit, ScriptedServer discovery, ScriptedServer... servers) throws Exception {
+        return new BalancerProcess(exportDeployedFlags(), 1024, 0, edit, discovery, addresses(servers));
+    }
+
+    /**
+     * Returns a shell command that sets the JVM flags of the deploy file, without the class data archive and the log
+     * options, which belong to the built files and not to the memory limits.
+     */
+    static String exportDeployedFlags() throws IOException {
+        Matcher runCommand = Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
+                .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
+        assertTrue(runCommand.find());
+        return "export JAVA_TOOL_OPTIONS='"
+                + runCommand
+                        .group(1)
+                        .replaceAll("-XX:SharedArchiveFile=\\S+|-Xlog:\\S+", "")
+                        .trim()
+                + "'; ";
+    }
+
     /** With a configuration that is edited before the start. */
     static BalancerProcess withEditedConfig(
             UnaryOperator<String> edit, ScriptedServer discovery, ScriptedServer... servers) throws Exception {
--- a/balancer/src/test/java/calicochute/process/HttpMessage.java
+++ b/balancer/src/test/java/calicochute/process/HttpMessage.java
@@ -11,12 +11,14 @@
     /** Reads one message; returns null if the input ends within the head. */
     static HttpMessage read(InputStream input) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
-        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+        String end = "\r\n\r\n";
+        for (int matched = 0; matched < end.length(); ) {
             int octet = input.read();
             if (octet < 0) {
                 return null;
             }
             head.write(octet);
+            matched = octet == end.charAt(matched) ? matched + 1 : octet == '\r' ? 1 : 0;
         }
         String text = head.toString(StandardCharsets.ISO_8859_1);
         String length = new HttpMessage(text, null).header("Content-Length");
--- a/balancer/src/test/java/calicochute/process/SmallLimitsTest.java
+++ b/balancer/src/test/java/calicochute/process/SmallLimitsTest.java
@@ -2,15 +2,10 @@
 
 import static calicochute.process.BalancerProcess.session;
 import static org.junit.Assert.assertEquals;
-import static org.junit.Assert.assertTrue;
 
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.Test;
 
 /** A balancer with few descriptors and the JVM flags of the deploy file, which set a small heap. */
@@ -18,24 +13,10 @@
     private static final int DESCRIPTORS = 256;
     private static final int CLIENTS = 60;
 
-    /**
-     * Returns the JVM flags without the class data archive and the log options, which belong to the built files and not
-     * to the memory limits.
-     */
-    private static String flags() throws Exception {
-        Matcher runCommand = Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
-                .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
-        assertTrue(runCommand.find());
-        return runCommand
-                .group(1)
-                .replaceAll("-XX:SharedArchiveFile=\\S+|-Xlog:\\S+", "")
-                .trim();
-    }
-
     @Override
     BalancerProcess startBalancer() throws Exception {
         return new BalancerProcess(
-                "ulimit -n " + DESCRIPTORS + "; export JAVA_TOOL_OPTIONS='" + flags() + "'; ",
+                "ulimit -n " + DESCRIPTORS + "; " + BalancerProcess.exportDeployedFlags(),
                 DESCRIPTORS,
                 discovery,
                 server);
--- a/balancer/src/test/java/calicochute/process/StreamedBodiesTest.java
+++ b/balancer/src/test/java/calicochute/process/StreamedBodiesTest.java
@@ -43,7 +43,7 @@
         return bytes;
     }
 
-    private static byte[] chunked(String head, byte[] body, int size) {
+    static byte[] chunked(String head, byte[] body, int size) {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         output.writeBytes((head + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
         for (int start = 0; start < body.length; start += size) {
