A process that loses an I/O or accepting thread exits instead of hanging

Cause: one I/O thread a side; HttpCore ends it on an Error, the JVM goes on with its other threads, and ConnectionAcceptor takes the closed reactor's IllegalStateException for a passing shortage, every 50 ms for good. Seen in the case's log: three threads' stack traces, then only acceptor-waits.

Change: lifecycle.ServingThreads makes these threads; if one ends before its owner closes it, the process logs thread-lost and halts with status 1.

Why it works: whichever way such a thread ends, its own finally block runs.

--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -1,6 +1,7 @@
 package calicochute.connection;
 
 import calicochute.framing.CompleteLineBuffer;
+import calicochute.lifecycle.ServingThreads;
 import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -10,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
@@ -56,17 +56,18 @@
     private static final Executor RETRY_EXECUTOR =
             CompletableFuture.delayedExecutor(20, TimeUnit.MILLISECONDS, Runnable::run);
 
+    private final ServingThreads threads;
     private final DefaultConnectingIOReactor reactor;
     private volatile BooleanSupplier descriptorShortage = () -> false;
 
     public Connector() {
+        threads = new ServingThreads("backend-io", true);
         IOReactorConfig config = IOReactorConfig.custom()
                 .setIoThreadCount(1)
                 .setTcpNoDelay(true)
                 .setSelectInterval(TimeValue.ofMilliseconds(50))
                 .build();
-        reactor = new DefaultConnectingIOReactor(
-                this::createHandler, config, new DefaultThreadFactory("backend-io", true), null, null, null, null);
+        reactor = new DefaultConnectingIOReactor(this::createHandler, config, threads, null, null, null, null);
     }
 
     public void start() {
@@ -178,6 +179,7 @@
 
     @Override
     public void close() {
+        threads.expectEnd();
         reactor.close(CloseMode.IMMEDIATE);
     }
 }
--- a/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
+++ b/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
@@ -1,5 +1,6 @@
 package calicochute.listening;
 
+import calicochute.lifecycle.ServingThreads;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
 import calicochute.metrics.Log;
@@ -14,7 +15,6 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
@@ -59,6 +59,8 @@
     private final boolean ownsSocket;
     private final String name;
     private final Counters counters;
+    private final ServingThreads ioThreads;
+    private final ServingThreads acceptorThreads;
     private final DefaultConnectingIOReactor reactor;
     private final Selector selector;
     /**
@@ -88,10 +90,12 @@
         connectionPermits = new Semaphore(maxConnections);
         this.counters = counters;
         ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
+        ioThreads = new ServingThreads(name + "-io", true);
+        acceptorThreads = new ServingThreads(name + "-accept", false);
         reactor = new DefaultConnectingIOReactor(
                 handlers,
                 REACTOR_CONFIG,
-                new DefaultThreadFactory(name + "-io", true),
+                ioThreads,
                 session -> new LingeringSession(session, scratch),
                 onException,
                 new CloseListener(),
@@ -151,7 +155,7 @@
         reactor.start();
         socket.configureBlocking(false);
         socket.register(selector, SelectionKey.OP_ACCEPT);
-        acceptorThread = new Thread(this::acceptLoop, name + "-accept");
+        acceptorThread = acceptorThreads.newThread(this::acceptLoop);
         acceptorThread.start();
         return (InetSocketAddress) socket.getLocalAddress();
     }
@@ -228,6 +232,7 @@
 
     /** Stops accepting and waits for the accepting thread to end; open connections continue. */
     public void stopAccepting() throws InterruptedException {
+        acceptorThreads.expectEnd();
         stopped = true;
         selector.wakeup();
         acceptorThread.join(STOP_TIMEOUT_MS);
@@ -261,6 +266,7 @@
 
     /** Closes all connections. */
     public void close() {
+        ioThreads.expectEnd();
         reactor.close(CloseMode.GRACEFUL);
     }
 }
