HttpCore's message limits stand once, in framing.ParserLimits

Change: one constant; the admin address has the initial window of the others too, 8 KiB in place of HttpCore's 64 (its calls have 4 KiB at most).

--- a/balancer/src/main/java/calicochute/admin/AdminConnection.java
+++ b/balancer/src/main/java/calicochute/admin/AdminConnection.java
@@ -1,14 +1,13 @@
 package calicochute.admin;
 
 import calicochute.framing.CompleteHeadParser;
+import calicochute.framing.ParserLimits;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
-import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.config.CharCodingConfig;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
@@ -22,11 +21,6 @@
 
 /** A connection to the admin address, for one call. Used by that address's I/O thread. */
 final class AdminConnection {
-    private static final Http1Config HTTP_CONFIG = Http1Config.custom()
-            .setBufferSize(Bounds.READ_BUFFER_BYTES)
-            .setMaxLineLength(Bounds.MAX_LINE_BYTES)
-            .setMaxHeaderCount(Bounds.MAX_HEADERS)
-            .build();
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
     /** Time from the start of the connection to the last byte of the call. */
     private static final long CALL_TIMEOUT_MS = 2000;
@@ -52,10 +46,11 @@
                         PROCESSOR,
                         (request, context) ->
                                 new BasicAsyncServerExpectationDecorator(new CallHandler(connection), onException),
-                        HTTP_CONFIG,
+                        ParserLimits.HTTP_CONFIG,
                         CharCodingConfig.DEFAULT,
                         null,
-                        () -> new CompleteHeadParser<>(new DefaultHttpRequestParserFactory(HTTP_CONFIG).create()),
+                        () -> new CompleteHeadParser<>(
+                                new DefaultHttpRequestParserFactory(ParserLimits.HTTP_CONFIG).create()),
                         null,
                         null,
                         onException)
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -1,8 +1,8 @@
 package calicochute.connection;
 
 import calicochute.framing.CompleteLineBuffer;
+import calicochute.framing.ParserLimits;
 import calicochute.lifecycle.ServingThreads;
-import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ReadableByteChannel;
@@ -15,7 +15,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.CharCodingConfig;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
@@ -37,14 +36,6 @@
 
 /** Opens connections to backend servers and other servers; one I/O thread serves all of them. */
 public final class Connector implements AutoCloseable {
-    /** Limits of HttpCore's parser, from {@link Bounds}. */
-    static final Http1Config HTTP_CONFIG = Http1Config.custom()
-            .setBufferSize(Bounds.READ_BUFFER_BYTES)
-            .setMaxLineLength(Bounds.MAX_LINE_BYTES)
-            .setMaxHeaderCount(Bounds.MAX_HEADERS)
-            .setInitialWindowSize(Bounds.INITIAL_WINDOW_BYTES)
-            .build();
-
     private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
     /**
      * If file descriptors are exhausted, the shortage handler frees some and the connect is retried, as nothing was
@@ -145,7 +136,7 @@
                 new ClientHttp1StreamDuplexer(
                         session,
                         PROCESSOR,
-                        HTTP_CONFIG,
+                        ParserLimits.HTTP_CONFIG,
                         CharCodingConfig.DEFAULT,
                         DefaultConnectionReuseStrategy.INSTANCE,
                         new ResponseHeadParser(connection),
--- a/balancer/src/main/java/calicochute/connection/ResponseHeadParser.java
+++ b/balancer/src/main/java/calicochute/connection/ResponseHeadParser.java
@@ -1,6 +1,7 @@
 package calicochute.connection;
 
 import calicochute.framing.CompleteHeadParser;
+import calicochute.framing.ParserLimits;
 import java.io.IOException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -13,7 +14,7 @@
 /** Parses response heads on one connection. Unsolicited data and heads with ambiguous framing end the connection. */
 final class ResponseHeadParser implements NHttpMessageParser<HttpResponse> {
     private final NHttpMessageParser<HttpResponse> parser =
-            new CompleteHeadParser<>(new DefaultHttpResponseParserFactory(Connector.HTTP_CONFIG).create());
+            new CompleteHeadParser<>(new DefaultHttpResponseParserFactory(ParserLimits.HTTP_CONFIG).create());
     private final Connection connection;
 
     ResponseHeadParser(Connection connection) {
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -1,9 +1,9 @@
 package calicochute.frontend;
 
 import calicochute.framing.CompleteLineBuffer;
+import calicochute.framing.ParserLimits;
 import calicochute.listening.LingeringSession;
 import calicochute.metrics.Counter;
-import calicochute.settings.Bounds;
 import java.io.IOException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
@@ -16,7 +16,6 @@
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.CharCodingConfig;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
@@ -41,13 +40,6 @@
  * frontend's I/O thread unless a method says otherwise.
  */
 final class ClientConnection extends ServerHttp1IOEventHandler {
-    /** Limits of HttpCore's parser, from {@link Bounds}. */
-    static final Http1Config HTTP_CONFIG = Http1Config.custom()
-            .setBufferSize(Bounds.READ_BUFFER_BYTES)
-            .setMaxLineLength(Bounds.MAX_LINE_BYTES)
-            .setMaxHeaderCount(Bounds.MAX_HEADERS)
-            .setInitialWindowSize(Bounds.INITIAL_WINDOW_BYTES)
-            .build();
     /** Time for a request head, from the start of the connection or from the first byte of a later request. */
     private static final long HEAD_TIMEOUT_MS = 2400;
     /** How long a request body may stall, and the grace before its average rate is checked. */
@@ -269,7 +261,7 @@
                             return new BasicAsyncServerExpectationDecorator(handler, onException);
                         },
                         "http",
-                        HTTP_CONFIG,
+                        ParserLimits.HTTP_CONFIG,
                         CharCodingConfig.DEFAULT,
                         DefaultConnectionReuseStrategy.INSTANCE,
                         new RequestHeadParser(state),
--- a/balancer/src/main/java/calicochute/frontend/RequestHeadParser.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestHeadParser.java
@@ -1,6 +1,7 @@
 package calicochute.frontend;
 
 import calicochute.framing.CompleteHeadParser;
+import calicochute.framing.ParserLimits;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Log;
 import java.io.IOException;
@@ -35,7 +36,7 @@
     };
 
     private final NHttpMessageParser<HttpRequest> parser = new CompleteHeadParser<>(
-            new DefaultHttpRequestParserFactory(ClientConnection.HTTP_CONFIG, RAW_TARGET_FACTORY, null).create());
+            new DefaultHttpRequestParserFactory(ParserLimits.HTTP_CONFIG, RAW_TARGET_FACTORY, null).create());
     private final ClientConnection.State state;
 
     RequestHeadParser(ClientConnection.State state) {
