RequestBody: how far a request is read, apart from the session's handler

Cause: SessionHandler had grown to 405 lines with two jobs, the session's messages and the flow control of its request body. Change: the latter is frontend.RequestBody; SessionHandler has 350 lines. Behaviour is the same, but that a first grant to a streamed body comes just before its session starts instead of just after.

--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -4,7 +4,6 @@
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Pipe;
-import calicochute.exchange.ReadWindow;
 import calicochute.exchange.Response;
 import calicochute.exchange.ResponseSender;
 import calicochute.exchange.SessionMemory;
@@ -17,7 +16,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -42,16 +40,8 @@
 
     private final ClientConnection.State connection;
     private final Frontend frontend;
-    private final Pipe requestBody = new Pipe();
-    /** Request body bytes granted beyond the initial window of {@link Bounds#INITIAL_WINDOW_BYTES}. */
-    private final AtomicLong grantedBytes = new AtomicLong();
-
-    private final ReadAheadBudget.Share readAheadShare;
     private final SessionMemory memory;
-    private final ReadWindow window;
-    private volatile CapacityChannel capacity;
-    /** Content length of the request body; -1 if it is unknown. */
-    private long declaredLength = -1;
+    private final RequestBody requestBody;
 
     private HttpRequest request;
     private ResponseChannel responseChannel;
@@ -74,9 +64,8 @@
     SessionHandler(ClientConnection.State connection) {
         this.connection = connection;
         frontend = connection.frontend;
-        readAheadShare = frontend.readAhead().newShare();
         memory = new SessionMemory(frontend.bodyBudget());
-        window = new ReadWindow(requestBody, memory.request(), frontend.windowBytes());
+        requestBody = new RequestBody(connection, memory.request());
     }
 
     @Override
@@ -92,52 +81,35 @@
             // Rejected at the head, so that the client need not send the body first.
             reject(bodyTooLong());
         } else {
-            declaredLength = entity.getContentLength();
+            requestBody.declareLength(entity.getContentLength());
         }
     }
 
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
-        requestBody.setCreditListener(bytes -> {
-            readAheadShare.releaseAllBut(requestBody.withheldCredit());
-            window.bytesTaken();
-            grant(channel, bytes);
-        });
-        capacity = channel;
-        if (exchange == null && !responding && bufferFurther()) {
-            return;
+        requestBody.setCapacity(channel);
+        if (exchange == null && !responding) {
+            if (requestBody.readToBuffer()) {
+                return;
+            }
+            frontend.counters().count(Counter.REQUESTS_STREAMED_FOR_ROOM);
+            startStreaming();
         }
         if (!wantsWatching()) {
-            connection.updatePaused(this::windowUsedUp);
-        } else if (!grantReadAhead()) {
-            connection.updatePaused(this::windowUsedUp);
+            requestBody.updatePaused();
+        } else if (!requestBody.readAhead()) {
+            requestBody.updatePaused();
             frontend.resetDetector().watch((SocketChannel) connection.session.channel(), this);
         }
     }
 
-    /** Reads further to buffer the body, or if there is no memory for that streams it and returns false. */
-    private boolean bufferFurther() throws IOException {
-        int bytes = window.extendToBuffer(declaredLength);
-        if (bytes > 0) {
-            grant(capacity, bytes);
-            return true;
-        }
-        frontend.counters().count(Counter.REQUESTS_STREAMED_FOR_ROOM);
-        startStreaming();
-        return false;
-    }
-
     /** Starts the session before the last byte of its request was received. */
     private void startStreaming() throws IOException {
-        int bytes = window.beginStreaming();
         try {
-            startSession(new Body.Streamed(requestBody, declaredLength));
+            startSession(requestBody.stream());
         } catch (HttpException e) {
             throw new IOException(e);
         }
-        if (bytes > 0) {
-            grant(capacity, bytes);
-        }
     }
 
     /** Whether a client waits for the response and no part of the body was passed on yet. */
@@ -146,22 +118,10 @@
         return exchange != null && exchange.awaitsResponse() && !requestBody.readStarted() && !released;
     }
 
-    /**
-     * Reads further so that a client that disconnects before the first dispatch is noticed: the disconnect is seen only
-     * after all input before it. Returns false if the budget is used up.
-     */
-    private boolean grantReadAhead() {
-        int reserved = readAheadShare.reserveMore(requestBody::grantAhead);
-        if (reserved > 0) {
-            grant(capacity, reserved);
-        }
-        return reserved > 0;
-    }
-
     @Override
     public void polledWithoutReset() {
-        if (windowUsedUp()) {
-            grantReadAhead();
+        if (requestBody.windowUsedUp()) {
+            requestBody.readAhead();
         }
     }
 
@@ -170,20 +130,6 @@
         connection.session.close(CloseMode.IMMEDIATE);
     }
 
-    private void grant(CapacityChannel channel, int bytes) {
-        grantedBytes.addAndGet(bytes);
-        connection.updatePaused(this::windowUsedUp);
-        try {
-            channel.update(bytes);
-        } catch (IOException e) {
-            Log.info("client-connection", String.valueOf(e.getMessage()));
-        }
-    }
-
-    private boolean windowUsedUp() {
-        return requestBody.totalBytes() - grantedBytes.get() >= Bounds.INITIAL_WINDOW_BYTES;
-    }
-
     @Override
     public void consume(ByteBuffer data) throws IOException {
         connection.bodyReceived(data.remaining());
@@ -229,7 +175,7 @@
         if (exchange != null) {
             frontend.sessions().requestCompleted(exchange);
         } else if (!responding) {
-            startSession(new Body.Buffered(requestBody.takeAll()));
+            startSession(requestBody.takeBuffered());
         }
     }
 
@@ -309,7 +255,7 @@
         }
         responding = true;
         // If the response comes before the end of the request, the rest of the request is read and discarded.
-        requestBody.cancel();
+        requestBody.discard();
         if (length >= 0) {
             httpResponse.addHeader("Content-Length", Long.toString(length));
         } else {
@@ -393,7 +339,7 @@
     @Override
     public void releaseResources() {
         released = true;
-        readAheadShare.close();
+        requestBody.release();
         memory.releaseConnection();
         if (exchange == null) {
             memory.endSession();
