--- a/balancer/src/main/java/calicochute/lifecycle/Lifecycle.java
+++ b/balancer/src/main/java/calicochute/lifecycle/Lifecycle.java
@@ -32,10 +32,10 @@
 
     private static final long KILL_DELAY_MICROS = 700_000;
     /**
-     * Subtracted from the grace period: a process can stall for a second while another one starts beside it, and the
-     * response still has to be written.
+     * Subtracted from the grace period: the process may be held up for 0.15 s, and the response still has to be
+     * written.
      */
-    private static final long STOP_MARGIN_MICROS = 1_000_000;
+    private static final long STOP_MARGIN_MICROS = 500_000;
 
     /** What the process does for clients. */
     public enum State {
