--- a/balancer/src/main/java/calicochute/backend/DispatchExecution.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchExecution.java
@@ -150,7 +150,8 @@
         if (!state.ended() && !requestWritten) {
             requestWritten = true;
             if (body instanceof Body.Streamed && response == null) {
-                scheduleTimeout(queue.now() + timeoutMicros);
+                long now = queue.now();
+                scheduleTimeout(Math.min(now + timeoutMicros, dispatch.exchange.responseDue(now)));
             }
         }
     }
@@ -269,11 +270,9 @@
         }
         callStartedAt = now;
         callStarted = true;
-        if (body instanceof Body.Buffered) {
-            // The wait for the connection has reduced the remaining time.
-            request.setHeader(
-                    BackendServers.REMAINING_TIME_HEADER, Long.toString(Math.max(1, (deadline() - now) / 1000)));
-        }
+        // The wait for the connection has reduced the remaining time, unless the client is sending still.
+        request.setHeader(
+                BackendServers.REMAINING_TIME_HEADER, Long.toString(Math.max(1, remainingMicros(now) / 1000)));
         connection.stream(request, body, windowBytes, dispatch.exchange.memory().newResponse(), new CallListener() {
             @Override
             public void requestWritten() {
@@ -293,6 +292,12 @@
         });
     }
 
+    private long remainingMicros(long now) {
+        return body instanceof Body.Buffered
+                ? deadline() - now
+                : Math.min(timeoutMicros, dispatch.exchange.responseDue(now) - now);
+    }
+
     private void onCallEnded(CallResult result, boolean reused) {
         if (state.ended()) {
             return;
@@ -327,15 +332,12 @@
     }
 
     /**
-     * Handles the end of the session: a dispatch that was not sent is never sent, and a call whose request body was
-     * aborted is cancelled.
+     * Handles the end of the session: a dispatch that was not sent is never sent, and a call whose request body will
+     * not be completed is cancelled.
      */
     void sessionEnded() {
         boolean waiting = state.waiting();
-        finish(
-                state.sessionEnded(body instanceof Body.Streamed streamed
-                        && streamed.pipe().aborted()),
-                null);
+        finish(state.sessionEnded(body instanceof Body.Streamed && !requestWritten), null);
         if (waiting) {
             counters.count(Counter.DISPATCHES_HELD_BACK);
         }
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -29,15 +29,14 @@
 
     /** Whether the client marked the request as a retry. */
     public final boolean clientRetry;
-    /**
-     * When the last request byte was received; until then, when the session began. Microseconds of the decision queue.
-     */
-    private long receivedAt;
+    /** When the session began, in microseconds of the decision queue. */
+    private final long startedAt;
 
+    private final RequestProgress progress;
     private boolean requestComplete;
     private boolean streamingResponse;
     private boolean responseAborted;
-    private final ResponseSender responseSender;
+    private final SessionClient client;
     private final List<Dispatch> dispatches = new ArrayList<>(3);
     private volatile boolean closed;
     /** Set by the I/O thread, because the decision thread may process the event late. */
@@ -51,10 +50,11 @@
             int tenantIndex,
             Limits limits,
             boolean clientRetry,
-            long receivedAt,
+            long startedAt,
             long clientTimeoutMicros,
+            RequestProgress progress,
             SessionMemory memory,
-            ResponseSender responseSender) {
+            SessionClient client) {
         this.id = id;
         this.clientId = clientId;
         this.message = message;
@@ -62,11 +62,12 @@
         this.tenantIndex = tenantIndex;
         this.limits = limits;
         this.clientRetry = clientRetry;
-        this.receivedAt = receivedAt;
+        this.startedAt = startedAt;
+        this.progress = progress;
         this.clientTimeoutMicros = clientTimeoutMicros;
         this.memory = memory;
         requestComplete = message.body() instanceof Body.Buffered;
-        this.responseSender = responseSender;
+        this.client = client;
     }
 
     /** The request; without its body once the session has ended. */
@@ -85,25 +86,44 @@
         memory.endSession();
     }
 
-    /** Whether the last byte of the request was received; the client timeout starts then. */
+    /** Whether the last byte of the request was received. */
     public boolean requestComplete() {
         return requestComplete;
     }
 
     /** Records that the last byte of the request was received. */
-    public void completeRequest(long nowMicros) {
+    public void completeRequest() {
         requestComplete = true;
-        receivedAt = nowMicros;
     }
 
-    /** When the last request byte was received; until then, when the session began. */
+    /** When the client may have written the last request byte; until it was received, when the session began. */
     public long receivedAt() {
-        return receivedAt;
+        return requestComplete ? progress.possibleEnd(startedAt) : startedAt;
+    }
+
+    /**
+     * The earliest time at which the client may stop waiting. While its request is incomplete the time moves on as more
+     * becomes known.
+     */
+    public long deadline(long now) {
+        return progress.possibleEnd(now) + clientTimeoutMicros;
+    }
+
+    /** When the session must have its final response: the time to write it before {@link #deadline}. */
+    public long responseDue(long now) {
+        return deadline(now) - Margins.responseMicros(clientTimeoutMicros);
+    }
+
+    /** Takes into account what waits unread on the client's connection. */
+    public void observeUnread(long now) {
+        if (!requestComplete) {
+            client.observeUnread(now);
+        }
     }
 
-    /** When the client stops waiting; practically never while the request is incomplete. */
-    public long deadline() {
-        return requestComplete ? receivedAt + clientTimeoutMicros : Long.MAX_VALUE / 2;
+    /** Whether the client has still to send a part of its request, as far as is known. */
+    public boolean awaitsClient() {
+        return !progress.isComplete() && progress.awaitsClient();
     }
 
     /** Whether part of a streamed request body was already sent to a server, so that no other dispatch is possible. */
@@ -177,7 +197,7 @@
             return false;
         }
         closed = true;
-        responseSender.send(response);
+        client.send(response);
         return true;
     }
 
--- a/balancer/src/main/java/calicochute/node/Margins.java
+++ b/balancer/src/main/java/calicochute/exchange/Margins.java
@@ -1,7 +1,7 @@
-package calicochute.node;
+package calicochute.exchange;
 
 /** How long before the client's timeout a session must have its response. */
-final class Margins {
+public final class Margins {
     /** Time to write a response and for it to arrive. */
     private static final long RESPONSE_MARGIN_MICROS = 15_000;
     /**
@@ -12,12 +12,12 @@
     private Margins() {}
 
     /** The response is sent this long before the client's timeout. */
-    static long responseMicros(long timeoutMicros) {
+    public static long responseMicros(long timeoutMicros) {
         return Math.min(RESPONSE_MARGIN_MICROS, timeoutMicros / TIMEOUT_DIVISOR);
     }
 
     /** If the decision module has not answered by then, the session is ended this long before the client's timeout. */
-    static long guardMicros(long timeoutMicros) {
+    public static long guardMicros(long timeoutMicros) {
         return responseMicros(timeoutMicros) / 3;
     }
 }
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -1,5 +1,6 @@
 package calicochute.frontend;
 
+import calicochute.exchange.RequestProgress;
 import calicochute.framing.CompleteLineBuffer;
 import calicochute.framing.ParserLimits;
 import calicochute.listening.LingeringSession;
@@ -69,6 +70,8 @@
         final Frontend frontend;
         final ProtocolIOSession session;
         volatile SessionHandler latestHandler;
+        /** Of the request that is arriving or was the last to arrive. */
+        private RequestProgress progress = new RequestProgress();
         /** Whether a request is expected or arriving; false from its end until the next request's first byte. */
         volatile boolean receivingRequest = true;
         /** Whether any input was received on this connection. */
@@ -119,6 +122,28 @@
             return owesResponse() || !receivingRequest && handler != null && handler.responseUnwritten();
         }
 
+        /** The progress of the request whose head is complete now; on the I/O thread. */
+        RequestProgress progressOfRequest() {
+            if (progress.isComplete()) {
+                // The request was read together with the end of the one before.
+                progress = new RequestProgress();
+                progress.inputArrived(frontend.nowMicros());
+            }
+            return progress;
+        }
+
+        /** Number of bytes in the system's receive buffer; any thread may call. */
+        long unreadBytes() {
+            try {
+                return ((SocketChannel) session.channel())
+                        .socket()
+                        .getInputStream()
+                        .available();
+            } catch (IOException | IllegalBlockingModeException e) {
+                return 0;
+            }
+        }
+
         /** The head of a request is complete; the pace of its body is measured from here. */
         void headReceived() {
             bodyStartNanos = System.nanoTime();
@@ -310,10 +335,15 @@
             state.receivingRequest = true;
             state.requestStartNanos = System.nanoTime();
             state.bodyStartNanos = 0;
+            state.progress = new RequestProgress();
         }
         state.inputReceived = true;
+        state.progress.inputArrived(state.frontend.nowMicros());
         super.inputReady(session, source);
         if (state.receivingRequest) {
+            if (((LingeringSession) session).inputDrained()) {
+                state.progress.inputDrained();
+            }
             // HttpCore's own timeout restarts with every byte, so a client that sends a byte now and then would never
             // time out.
             long remainingMs = state.remainingMs();
@@ -405,15 +435,7 @@
      * same time is not lost.
      */
     boolean hasUnreadInput() {
-        try {
-            return ((SocketChannel) state.session.channel())
-                            .socket()
-                            .getInputStream()
-                            .available()
-                    > 0;
-        } catch (IOException | IllegalBlockingModeException e) {
-            return false;
-        }
+        return state.unreadBytes() > 0;
     }
 
     /** Whether a request body is arriving in time. */
--- a/balancer/src/main/java/calicochute/frontend/RequestBody.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestBody.java
@@ -4,6 +4,7 @@
 import calicochute.exchange.ByteBudget;
 import calicochute.exchange.Pipe;
 import calicochute.exchange.ReadWindow;
+import calicochute.exchange.RequestProgress;
 import calicochute.metrics.Log;
 import calicochute.settings.Bounds;
 import java.io.IOException;
@@ -106,6 +107,11 @@
         return new Body.Buffered(pipe.takeAll());
     }
 
+    /** Tells the progress of the request how many bytes wait unread behind those that have arrived. */
+    void observeUnread(RequestProgress progress, long nowMicros, long unreadBytes) {
+        progress.observeUnread(nowMicros, pipe.totalBytes(), unreadBytes, declaredLength);
+    }
+
     /** Adds bytes that have arrived. */
     void put(ByteBuffer bytes) {
         pipe.put(bytes);
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -4,8 +4,9 @@
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Pipe;
+import calicochute.exchange.RequestProgress;
 import calicochute.exchange.Response;
-import calicochute.exchange.ResponseSender;
+import calicochute.exchange.SessionClient;
 import calicochute.exchange.SessionMemory;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Log;
@@ -34,7 +35,7 @@
  * One request on a client connection: passes it on as an exchange, buffered if it is short and streamed if it is long,
  * and writes the response the same way.
  */
-final class SessionHandler implements AsyncServerExchangeHandler, ResponseSender, ResetDetector.Watcher {
+final class SessionHandler implements AsyncServerExchangeHandler, SessionClient, ResetDetector.Watcher {
     /** The smallest Retry-After that three decimals can express; 0 would ask for an immediate retry. */
     private static final double MIN_RETRY_AFTER_SECONDS = 0.001;
 
@@ -42,6 +43,7 @@
     private final Frontend frontend;
     private final SessionMemory memory;
     private final RequestBody requestBody;
+    private final RequestProgress progress;
 
     private HttpRequest request;
     private ResponseChannel responseChannel;
@@ -66,6 +68,7 @@
         frontend = connection.frontend;
         memory = new SessionMemory(frontend.bodyBudget());
         requestBody = new RequestBody(connection, memory.request());
+        progress = connection.progressOfRequest();
     }
 
     @Override
@@ -170,6 +173,7 @@
 
     /** The last byte of the request was received. */
     private void completeRequest() throws HttpException, IOException {
+        progress.complete(frontend.nowMicros());
         connection.requestReceived();
         requestBody.complete();
         if (exchange != null) {
@@ -189,7 +193,7 @@
             return;
         }
         try {
-            exchange = frontend.parser().parse(request, body, frontend.nowMicros(), memory, this);
+            exchange = frontend.parser().parse(request, body, progress, frontend.nowMicros(), memory, this);
         } catch (SessionParser.BadInputException e) {
             reject(e);
             return;
@@ -197,6 +201,11 @@
         frontend.sessions().sessionStarted(exchange);
     }
 
+    @Override
+    public void observeUnread(long nowMicros) {
+        requestBody.observeUnread(progress, nowMicros, connection.unreadBytes());
+    }
+
     @Override
     public void send(Response response) {
         try {
--- a/balancer/src/main/java/calicochute/frontend/SessionParser.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionParser.java
@@ -6,7 +6,8 @@
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Field;
 import calicochute.exchange.Message;
-import calicochute.exchange.ResponseSender;
+import calicochute.exchange.RequestProgress;
+import calicochute.exchange.SessionClient;
 import calicochute.exchange.SessionMemory;
 import calicochute.settings.SettingsHistory;
 import java.util.ArrayList;
@@ -57,7 +58,13 @@
     }
 
     /** Creates the exchange of a request, or throws if the request is not a valid session. */
-    Exchange parse(HttpRequest request, Body body, long nowMicros, SessionMemory memory, ResponseSender responseSender)
+    Exchange parse(
+            HttpRequest request,
+            Body body,
+            RequestProgress progress,
+            long nowMicros,
+            SessionMemory memory,
+            SessionClient client)
             throws BadInputException {
         String clientId = singleHeader(request, "X-Txn", true);
         if (!CLIENT_ID.matcher(clientId).matches()) {
@@ -92,8 +99,9 @@
                 "1".equals(singleHeader(request, "X-Resent", false)),
                 nowMicros,
                 clientTimeoutMicros,
+                progress,
                 memory,
-                responseSender);
+                client);
     }
 
     private static List<Field> forwardedFields(HttpRequest request) {
--- a/balancer/src/main/java/calicochute/listening/LingeringSession.java
+++ b/balancer/src/main/java/calicochute/listening/LingeringSession.java
@@ -26,6 +26,8 @@
     private final IOSession session;
     private final ByteBuffer scratch;
     private final CloseState closeState = new CloseState();
+    /** The last read found no input; a read of fewer bytes than asked for may leave some. */
+    private boolean inputDrained;
 
     /**
      * Wraps a session.
@@ -42,6 +44,11 @@
         return closeState.lingering();
     }
 
+    /** Whether all input that had arrived was read; on the I/O thread. */
+    public boolean inputDrained() {
+        return inputDrained;
+    }
+
     /** Whether the client sent too much unwanted input. */
     public boolean discardLimitExceeded() {
         return closeState.discardLimitExceeded();
@@ -153,6 +160,7 @@
             return 0;
         }
         int bytes = session.read(target);
+        inputDrained = bytes == 0 && target.hasRemaining();
         if (bytes < 0) {
             closeState.peerClosed(false);
         }
--- a/balancer/src/main/java/calicochute/node/DeadlineGuards.java
+++ b/balancer/src/main/java/calicochute/node/DeadlineGuards.java
@@ -2,6 +2,7 @@
 
 import calicochute.exchange.DecisionQueue;
 import calicochute.exchange.Exchange;
+import calicochute.exchange.Margins;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,6 +14,11 @@
  * that each session gets a response, whatever the decision module does. Runs on the decision thread.
  */
 final class DeadlineGuards {
+    /** The progress of an arriving request is checked this often within its client's timeout. */
+    private static final int CHECKS_PER_TIMEOUT = 4;
+
+    private static final long MIN_CHECK_INTERVAL_MICROS = 25_000;
+
     private final DecisionQueue queue;
     private final LongSupplier stopDeadline;
     private final Consumer<Exchange> overdue;
@@ -25,12 +31,42 @@
         this.overdue = overdue;
     }
 
-    /** Starts the timer of a session. */
+    /** Starts the timer of a session, or restarts it. */
     void guard(Exchange exchange) {
-        long dueMicros = Math.min(exchange.deadline(), stopDeadline.getAsLong());
-        long delayMicros = Math.max(Margins.responseMicros(exchange.clientTimeoutMicros), dueMicros - queue.now())
-                - Margins.guardMicros(exchange.clientTimeoutMicros);
-        timers.put(exchange.id, queue.schedule(delayMicros, () -> overdue.accept(exchange)));
+        cancel(exchange);
+        long now = queue.now();
+        // A request that arrives at the end of a stop is answered at once, but not before it has had a chance.
+        schedule(exchange, now, Math.max(dueAt(exchange, now), now + earliestResponseMicros(exchange)));
+    }
+
+    private static long earliestResponseMicros(Exchange exchange) {
+        return Margins.responseMicros(exchange.clientTimeoutMicros) - Margins.guardMicros(exchange.clientTimeoutMicros);
+    }
+
+    private long dueAt(Exchange exchange, long now) {
+        long deadline = exchange.deadline(now);
+        // A client that is known to be sending still is owed nothing yet, not even at a stop.
+        long latest = exchange.awaitsClient() ? deadline : Math.min(deadline, stopDeadline.getAsLong());
+        return latest - Margins.guardMicros(exchange.clientTimeoutMicros);
+    }
+
+    private void schedule(Exchange exchange, long now, long dueAt) {
+        long checkMicros = exchange.requestComplete()
+                ? Long.MAX_VALUE
+                : Math.max(MIN_CHECK_INTERVAL_MICROS, exchange.clientTimeoutMicros / CHECKS_PER_TIMEOUT);
+        long delayMicros = Math.min(dueAt - now, checkMicros);
+        timers.put(exchange.id, queue.schedule(delayMicros, () -> check(exchange)));
+    }
+
+    private void check(Exchange exchange) {
+        long now = queue.now();
+        exchange.observeUnread(now);
+        long dueAt = dueAt(exchange, now);
+        if (exchange.requestComplete() || now >= dueAt) {
+            overdue.accept(exchange);
+        } else {
+            schedule(exchange, now, dueAt);
+        }
     }
 
     /** Cancels the timer of a session, if it has one. */
@@ -43,9 +79,9 @@
 
     /** Restarts the existing timers after a change of the stop deadline. */
     void reschedule(Collection<Exchange> exchanges) {
-        exchanges.stream().filter(exchange -> timers.containsKey(exchange.id)).forEach(exchange -> {
-            cancel(exchange);
-            guard(exchange);
-        });
+        exchanges.stream()
+                .filter(exchange -> timers.containsKey(exchange.id))
+                .toList()
+                .forEach(this::guard);
     }
 }
--- a/balancer/src/main/java/calicochute/node/ModuleActions.java
+++ b/balancer/src/main/java/calicochute/node/ModuleActions.java
@@ -57,11 +57,7 @@
                 "two dispatches of a session at the same time");
         Dispatch dispatch = exchange.addDispatch(server, nowMicros, latestSendMicros);
         if (allowed) {
-            backendServers.send(
-                    dispatch,
-                    Math.min(
-                            timeoutMicros,
-                            exchange.deadline() - Margins.responseMicros(exchange.clientTimeoutMicros) - nowMicros));
+            backendServers.send(dispatch, Math.min(timeoutMicros, exchange.responseDue(nowMicros) - nowMicros));
         } else {
             queue.post(() -> node.dispatchEnded(dispatch, Outcome.MOOT, null));
         }
@@ -79,10 +75,7 @@
     public void fail(long request) {
         Exchange exchange = openSessions.get(request);
         if (exchange != null) {
-            node.respond(
-                    exchange,
-                    new Response.Failed(
-                            exchange.deadline() - Margins.responseMicros(exchange.clientTimeoutMicros) <= queue.now()));
+            node.respond(exchange, new Response.Failed(exchange.responseDue(queue.now()) <= queue.now()));
         }
     }
 
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -259,12 +259,9 @@
         }
         openSessions.put(exchange.id, exchange);
         openCount = openSessions.size();
-        long timeLeftMicros =
-                (exchange.requestComplete() ? exchange.deadline() - queue.now() : exchange.clientTimeoutMicros)
-                        - Margins.responseMicros(exchange.clientTimeoutMicros);
-        if (exchange.requestComplete()) {
-            deadlineGuards.guard(exchange);
-        } else {
+        long timeLeftMicros = exchange.responseDue(queue.now()) - queue.now();
+        deadlineGuards.guard(exchange);
+        if (!exchange.requestComplete()) {
             counters.count(Counter.SESSIONS_IN_PIECES);
         }
         tell(new Balancer.Arrival(
@@ -292,10 +289,10 @@
     @Override
     public void requestCompleted(Exchange exchange) {
         queue.post(() -> {
-            exchange.completeRequest(queue.now());
+            exchange.completeRequest();
             if (!exchange.closed() && openSessions.containsKey(exchange.id)) {
                 deadlineGuards.guard(exchange);
-                tell(new Balancer.BodyState(exchange.id, false, true));
+                tell(Balancer.BodyState.complete(exchange.id, exchange.receivedAt()));
             }
         });
     }
@@ -351,7 +348,8 @@
         if (exchange.closed()) {
             return;
         }
-        boolean stopping = queue.now() < exchange.deadline() - Margins.responseMicros(exchange.clientTimeoutMicros);
+        long now = queue.now();
+        boolean stopping = now < exchange.responseDue(now);
         counters.count(stopping ? Counter.SESSIONS_ENDED_BY_STOP : Counter.SESSIONS_ENDED_BY_DEADLINE);
         respond(
                 exchange,
@@ -428,7 +426,7 @@
         }
         if (!exchange.closed() && exchange.requestBodyConsumed()) {
             // The part of the request body that was passed on cannot be sent again.
-            tell(new Balancer.BodyState(exchange.id, true, false));
+            tell(Balancer.BodyState.partlySent(exchange.id));
         }
         tell(new Balancer.AttemptEnded(
                 exchange.id,
--- a/balancer/src/test/java/calicochute/backend/BackendTestBase.java
+++ b/balancer/src/test/java/calicochute/backend/BackendTestBase.java
@@ -12,7 +12,9 @@
 import calicochute.exchange.Dispatch;
 import calicochute.exchange.Exchange;
 import calicochute.exchange.Message;
+import calicochute.exchange.RequestProgress;
 import calicochute.exchange.Response;
+import calicochute.exchange.SessionClient;
 import calicochute.exchange.SessionMemory;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
@@ -79,6 +81,8 @@
     }
 
     Dispatch dispatch(String target) {
+        RequestProgress progress = new RequestProgress();
+        progress.complete(queue.now());
         exchange = new Exchange(
                 1,
                 "1",
@@ -89,11 +93,21 @@
                 false,
                 queue.now(),
                 900_000,
+                progress,
                 new SessionMemory(new ByteBudget(1 << 20)),
-                response -> {});
+                new SilentClient());
         return exchange.addDispatch("s", queue.now(), queue.now + SEND_WINDOW_MICROS);
     }
 
+    /** A client that takes its response and sends no more. */
+    private static final class SilentClient implements SessionClient {
+        @Override
+        public void send(Response response) {}
+
+        @Override
+        public void observeUnread(long nowMicros) {}
+    }
+
     final Counters counters = new Counters();
 
     BackendServers servers(Connector connector, int port) {
--- a/balancer/src/test/java/calicochute/node/MarginsTest.java
+++ b/balancer/src/test/java/calicochute/exchange/MarginsTest.java
@@ -1,4 +1,4 @@
-package calicochute.node;
+package calicochute.exchange;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/decision/src/main/java/calicochute/decision/Balancer.java
+++ b/decision/src/main/java/calicochute/decision/Balancer.java
@@ -190,9 +190,20 @@
 
     /**
      * Progress of a request body that arrives in pieces. {@code partlySent}: some were forwarded and are not kept, so
-     * no further attempt can be made. {@code complete}: the last byte has arrived.
+     * no further attempt can be made. {@code complete}: the last byte has arrived, and the client may have sent it at
+     * {@code sentAt}.
      */
-    record BodyState(long request, boolean partlySent, boolean complete) implements Event {}
+    record BodyState(long request, boolean partlySent, boolean complete, long sentAt) implements Event {
+        /** Some of the body was forwarded. */
+        public static BodyState partlySent(long request) {
+            return new BodyState(request, true, false, 0);
+        }
+
+        /** The last byte has arrived; the client may have sent it at {@code sentAt}. */
+        public static BodyState complete(long request, long sentAt) {
+            return new BodyState(request, false, true, sentAt);
+        }
+    }
 
     /**
      * An attempt ended. {@code finished}: the request has its final answer; otherwise one is still owed. {@code load}
--- a/decision/src/main/java/calicochute/decision/DefaultBalancer.java
+++ b/decision/src/main/java/calicochute/decision/DefaultBalancer.java
@@ -103,7 +103,7 @@
             request.maxAttempts = request.sent;
         }
         if (request != null && body.complete()) {
-            request.bodyComplete(state.now);
+            request.bodyComplete(body.sentAt());
         }
     }
 
--- a/decision/src/main/java/calicochute/decision/Request.java
+++ b/decision/src/main/java/calicochute/decision/Request.java
@@ -45,12 +45,13 @@
         return attempt;
     }
 
-    /** Restarts all times: they count from the arrival of the body's last byte. */
-    void bodyComplete(long now) {
-        deadline += now - arrivedAt;
-        arrivedAt = now;
+    /** Restarts all times: they count from when the client sent the body's last byte. */
+    void bodyComplete(long sentAt) {
+        long later = Math.max(0, sentAt - arrivedAt);
+        deadline += later;
+        arrivedAt += later;
         if (pending()) {
-            newest().sentAt = now;
+            newest().sentAt = Math.max(newest().sentAt, sentAt);
         }
     }
 
--- a/decision/src/test/java/calicochute/decision/MechanismTest.java
+++ b/decision/src/test/java/calicochute/decision/MechanismTest.java
@@ -343,12 +343,12 @@
         }
         fixture.arrive(nextRequest, 4 * SECOND);
         fixture.now += 10 * SECOND;
-        fixture.on(new Balancer.BodyState(nextRequest, false, true));
+        fixture.on(Balancer.BodyState.complete(nextRequest, fixture.now));
         fixture.now += SECOND;
         int sent = fixture.sent.size();
         fixture.outcome(0, Outcome.ERROR, SECOND);
         assertEquals(sent + 1, fixture.sent.size(), "its deadline began with its last byte");
-        fixture.on(new Balancer.BodyState(nextRequest, true, false));
+        fixture.on(Balancer.BodyState.partlySent(nextRequest));
         fixture.outcome(1, Outcome.ERROR, 1000);
         assertEquals(sent + 1, fixture.sent.size());
         assertEquals("refuse " + nextRequest, fixture.lastAction());
