--- a/balancer/src/main/java/calicochute/backend/DispatchExecution.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchExecution.java
@@ -28,6 +28,10 @@
     private static final long CLOSED_CONNECTION_FAILURE_MICROS = 20_000;
     /** Interval between two checks of streamed bodies. */
     private static final long STREAM_CHECK_INTERVAL_MICROS = 500_000;
+    /** While it is not known whether the client is connected, a dispatch waits for that, this often and this long. */
+    private static final int MAX_OBSERVATIONS = 20;
+
+    private static final long OBSERVATION_INTERVAL_MICROS = 5_000;
     /** How long a server may leave a streamed request body unread. */
     private static final long MAX_UPLOAD_STALL_MICROS = 10_000_000;
 
@@ -66,6 +70,8 @@
     private long callStartedAt;
     /** Time limit of the dispatch, in microseconds. */
     private final long timeoutMicros;
+    /** How often the dispatch still waits for the client to be observed. */
+    private int observationsLeft = MAX_OBSERVATIONS;
     /** {@link #start} is running. */
     private boolean starting;
 
@@ -246,7 +252,15 @@
     private void connectionReady(boolean reused) {
         long now = queue.now();
         boolean open = connection != null && connection.isOpen();
-        switch (state.connectionReady(now, dispatch.exchange.awaitsResponse(), isServerEligible(), open, !reused)) {
+        boolean observed = dispatch.exchange.clientObserved(now);
+        if (!observed && open && state.waiting() && observationsLeft > 0) {
+            // The request is being read ahead meanwhile.
+            observationsLeft--;
+            queue.schedule(OBSERVATION_INTERVAL_MICROS, () -> connectionReady(reused));
+            return;
+        }
+        boolean awaited = dispatch.exchange.awaitsResponse() && (observed || !open);
+        switch (state.connectionReady(now, awaited, isServerEligible(), open, !reused)) {
             case CALL -> call(now, reused);
             case FIND_CONNECTION -> obtainAnotherConnection();
             case END -> {
--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -10,6 +10,12 @@
  * otherwise.
  */
 public final class Exchange {
+    /**
+     * How long nothing may be known of a client when a dispatch for it begins: well below the 0.1 s within which a
+     * dispatch may still begin after its client disconnected.
+     */
+    private static final long MAX_UNOBSERVED_MICROS = 50_000;
+
     /** Session number, unique within this process. */
     public final long id;
     /** The client's ID for the session. */
@@ -121,6 +127,14 @@
         }
     }
 
+    /**
+     * Whether a client that has closed its connection would have been noticed, but for the last moments. Its close is
+     * behind all that it has sent, so it is not seen while input waits unread.
+     */
+    public boolean clientObserved(long now) {
+        return progress.isComplete() || now - progress.possibleEnd(now) <= MAX_UNOBSERVED_MICROS;
+    }
+
     /** Whether the client has still to send a part of its request, as far as is known. */
     public boolean awaitsClient() {
         return !progress.isComplete() && progress.awaitsClient();
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -341,7 +341,10 @@
         state.progress.inputArrived(state.frontend.nowMicros());
         super.inputReady(session, source);
         if (state.receivingRequest) {
-            if (((LingeringSession) session).inputDrained()) {
+            // Checked in this order, because the last condition needs a system call.
+            if (state.pausedSinceNanos == 0
+                    && ((LingeringSession) session).lastReadShort()
+                    && state.unreadBytes() == 0) {
                 state.progress.inputDrained();
             }
             // HttpCore's own timeout restarts with every byte, so a client that sends a byte now and then would never
--- a/balancer/src/main/java/calicochute/frontend/ReadAheadBudget.java
+++ b/balancer/src/main/java/calicochute/frontend/ReadAheadBudget.java
@@ -12,8 +12,8 @@
  * only once a server takes the body.
  */
 final class ReadAheadBudget {
-    /** One body may take up to 1/8 of the budget. */
-    private static final int MAX_SHARE_DIVISOR = 8;
+    /** One body may take up to half of the budget. */
+    private static final int MAX_SHARE_DIVISOR = 2;
     /** Size of one reservation. Reserved bytes are taken from the other bodies, whether they arrive or not. */
     private static final int STEP_BYTES = 1 << 14;
 
--- a/balancer/src/main/java/calicochute/listening/LingeringSession.java
+++ b/balancer/src/main/java/calicochute/listening/LingeringSession.java
@@ -26,8 +26,8 @@
     private final IOSession session;
     private final ByteBuffer scratch;
     private final CloseState closeState = new CloseState();
-    /** The last read found no input; a read of fewer bytes than asked for may leave some. */
-    private boolean inputDrained;
+    /** The last read returned fewer bytes than it had room for. */
+    private boolean lastReadShort;
 
     /**
      * Wraps a session.
@@ -44,9 +44,9 @@
         return closeState.lingering();
     }
 
-    /** Whether all input that had arrived was read; on the I/O thread. */
-    public boolean inputDrained() {
-        return inputDrained;
+    /** Whether the last read returned fewer bytes than it had room for, mostly all there were; on the I/O thread. */
+    public boolean lastReadShort() {
+        return lastReadShort;
     }
 
     /** Whether the client sent too much unwanted input. */
@@ -160,7 +160,7 @@
             return 0;
         }
         int bytes = session.read(target);
-        inputDrained = bytes == 0 && target.hasRemaining();
+        lastReadShort = bytes >= 0 && target.hasRemaining();
         if (bytes < 0) {
             closeState.peerClosed(false);
         }
--- a/balancer/src/main/java/calicochute/metrics/Counter.java
+++ b/balancer/src/main/java/calicochute/metrics/Counter.java
@@ -17,6 +17,10 @@
     SESSIONS_ENDED_BY_DEADLINE,
     /** Sessions answered or cut short because the process is about to be killed. */
     SESSIONS_ENDED_BY_STOP,
+    /**
+     * Sessions denied because input of the client was unread for so long that it may have left without being noticed.
+     */
+    SESSIONS_CLIENT_UNOBSERVED,
     /** Sessions whose request body was still arriving when they began. */
     SESSIONS_IN_PIECES,
     /** Responses passed on while their body was still arriving from the backend server. */
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -419,6 +419,7 @@
             // The module must not retry for a client that has gone, even if clientGone is still queued.
             endGoneSession(exchange);
         }
+        refuseIfClientUnobserved(exchange, outcome);
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
         fleet.dispatchEnded(dispatch, outcome, elapsedMicros(dispatch));
         if (response != null) {
@@ -439,6 +440,17 @@
         retire(exchange);
     }
 
+    /**
+     * Refuses a session whose dispatch was held back because its client may have left: no later dispatch could begin
+     * either.
+     */
+    private void refuseIfClientUnobserved(Exchange exchange, Outcome outcome) {
+        if (outcome == Outcome.MOOT && exchange.awaitsResponse() && !exchange.clientObserved(queue.now())) {
+            counters.count(Counter.SESSIONS_CLIENT_UNOBSERVED);
+            respond(exchange, new Response.Denied(exchange.limits.advisedRetryAfter()));
+        }
+    }
+
     /** Time since the dispatch was sent, or since the request's last byte if that came later. */
     private long elapsedMicros(Dispatch dispatch) {
         return queue.now() - Math.max(dispatch.sentAt, dispatch.exchange.receivedAt());
--- a/balancer/src/test/java/calicochute/process/SingleServerFixture.java
+++ b/balancer/src/test/java/calicochute/process/SingleServerFixture.java
@@ -1,5 +1,7 @@
 package calicochute.process;
 
+import static org.junit.Assert.assertEquals;
+
 import java.util.concurrent.CountDownLatch;
 import org.junit.After;
 import org.junit.Before;
@@ -25,6 +27,16 @@
         return new BalancerProcess(discovery, server);
     }
 
+    /**
+     * Has one request served, so that a connection to the server is open: a long request is not dispatched if its
+     * connection takes long and the client may have left meanwhile.
+     */
+    final void openServerConnection() throws Exception {
+        String head = BalancerProcess.session("0000000000000001", "view");
+        assertEquals(200, balancer.send(head).status());
+        assertEquals(1, server.requests.size());
+    }
+
     @After
     public void stop() throws Exception {
         release.countDown();
