--- a/balancer/src/main/java/calicochute/backend/DispatchExecution.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchExecution.java
@@ -51,7 +51,7 @@
     /** The body of the response once it is streamed. */
     private Pipe response;
 
-    private ThroughputMonitor throughput;
+    private StallMonitor stallMonitor;
     private boolean requestWritten;
     private Connection connection;
     /** Whether the connection was leased from the pool rather than opened for this execution. */
@@ -144,7 +144,7 @@
                 connection.close();
             }
         } else if (response != null
-                && !throughput.isSufficient(queue.now(), response.totalBytes(), response.bufferedBytes() == 0)) {
+                && stallMonitor.hasStalled(queue.now(), response.totalBytes(), response.bufferedBytes() == 0)) {
             counters.count(Counter.ANSWERS_CUT);
             finish(state.abort(Outcome.RESET), null);
             return;
@@ -171,7 +171,7 @@
             timeoutTimer.cancel();
         }
         response = streamed.pipe();
-        throughput = new ThroughputMonitor(queue.now(), response.totalBytes());
+        stallMonitor = new StallMonitor(queue.now(), response.totalBytes());
         requestWritten = true;
         listener.responseStarted(head, streamed);
         if (!(body instanceof Body.Streamed)) {
--- a/balancer/src/main/java/calicochute/metrics/Counter.java
+++ b/balancer/src/main/java/calicochute/metrics/Counter.java
@@ -27,7 +27,7 @@
     ANSWERS_IN_PIECES,
     /** Request bodies streamed only because there was no memory to buffer them. */
     REQUESTS_STREAMED_FOR_ROOM,
-    /** Streamed responses aborted because their body made too little progress. */
+    /** Streamed responses aborted because their server stopped sending. */
     ANSWERS_CUT,
     CLIENTS_ACCEPTED,
     CLIENTS_CLOSED_SLOW,
