--- a/balancer/src/main/java/calicochute/exchange/Response.java
+++ b/balancer/src/main/java/calicochute/exchange/Response.java
@@ -18,6 +18,6 @@
     /** A backend server rejected the request as invalid, with this HTTP status. */
     record Rejected(int status) implements Response {}
 
-    /** The session was not executed because another session with the same client ID is open. */
+    /** The session was not executed because another one with the same client ID is open or may have been executed. */
     record Duplicate() implements Response {}
 }
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -229,7 +229,7 @@
                 respond(rejected.status(), List.of(), new byte[0]);
             } else {
                 connection.closeAfterResponse();
-                respond(409, List.of(), "X-Txn is still being worked on\n".getBytes(StandardCharsets.US_ASCII));
+                respond(409, List.of(), "X-Txn was received before\n".getBytes(StandardCharsets.US_ASCII));
             }
         } catch (HttpException | IOException | IllegalStateException e) {
             // The client connection was closed meanwhile; failed() is called for that.
--- a/balancer/src/main/java/calicochute/node/ModuleActions.java
+++ b/balancer/src/main/java/calicochute/node/ModuleActions.java
@@ -57,6 +57,7 @@
                 "two dispatches of a session at the same time");
         Dispatch dispatch = exchange.addDispatch(server, nowMicros, latestSendMicros);
         if (allowed) {
+            node.dispatching(exchange);
             backendServers.send(dispatch, Math.min(timeoutMicros, exchange.responseDue(nowMicros) - nowMicros));
         } else {
             queue.post(() -> node.dispatchEnded(dispatch, Outcome.MOOT, null));
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -29,6 +29,7 @@
 import calicochute.takeover.LearntFile;
 import calicochute.takeover.Origin;
 import calicochute.takeover.ProcessLock;
+import calicochute.takeover.RequestIdFile;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -77,7 +78,12 @@
     private final Balancer.Actions actions;
     private final Map<Long, Exchange> openSessions = new HashMap<>();
     private final DeadlineGuards deadlineGuards;
+    /** Client ids of the open sessions. */
     private final Set<String> clientIds = new HashSet<>();
+
+    private final ExecutedRequests executedRequests = new ExecutedRequests();
+    /** The ids that other processes of this balancer must not send on again; null if there are none. */
+    private final RequestIdFile sharedIds;
     /** After SIGTERM: the timer that cuts off streamed responses. */
     private DecisionQueue.Timer streamCut;
 
@@ -148,6 +154,9 @@
                         counters,
                         membership::runOnFileThread,
                         () -> operators.lifecycle().state() != Lifecycle.State.STOPPING);
+        sharedIds = inheritedSocket == null || sharedFolder == null
+                ? null
+                : new RequestIdFile(sharedFolder, ExecutedRequests.RETENTION_MICROS);
         settings.classes().forEach(c -> stats.addClass(c.name()));
     }
 
@@ -249,14 +258,15 @@
             exchange.end();
             return;
         }
-        if (!clientIds.add(exchange.clientId)) {
-            // A session with the same client id is still open; a second one would duplicate its dispatches.
+        if (clientIds.contains(exchange.clientId) || mayHaveExecutedBefore(exchange)) {
+            // A second session of the same client id would duplicate the dispatches of the first.
             counters.count(Counter.SESSIONS_BAD_INPUT);
             exchange.respond(new Response.Duplicate());
             countEnd(exchange, OperatorStats.SessionEnd.FAILED);
             exchange.end();
             return;
         }
+        clientIds.add(exchange.clientId);
         openSessions.put(exchange.id, exchange);
         openCount = openSessions.size();
         long timeLeftMicros = exchange.responseDue(queue.now()) - queue.now();
@@ -274,6 +284,24 @@
                 fleet.sessionStarted(exchange)));
     }
 
+    /** Whether a server may have executed a session of the same client id that must not be executed again. */
+    private boolean mayHaveExecutedBefore(Exchange exchange) {
+        return !isRepeatable(exchange)
+                && (executedRequests.contains(exchange.clientId, queue.now())
+                        || sharedIds != null && sharedIds.contains(exchange.clientId));
+    }
+
+    private boolean isRepeatable(Exchange exchange) {
+        return settingsHistory.classes().get(exchange.classIndex).effect() == Balancer.Effect.REPEATABLE;
+    }
+
+    /** Called before a dispatch of the session is sent. */
+    void dispatching(Exchange exchange) {
+        if (sharedIds != null && !isRepeatable(exchange)) {
+            sharedIds.add(exchange.clientId);
+        }
+    }
+
     /**
      * The time until which a further dispatch of the session may be sent. Servers discard duplicates of a keyed request
      * only for a limited time after the first dispatch that may have been executed, and writing takes time too.
@@ -401,6 +429,9 @@
                 && !exchange.streamingResponse()
                 && openSessions.remove(exchange.id) != null) {
             clientIds.remove(exchange.clientId);
+            if (!isRepeatable(exchange) && exchange.mayHaveExecuted()) {
+                executedRequests.add(exchange.clientId, queue.now());
+            }
             deadlineGuards.cancel(exchange);
             fleet.sessionRetired(exchange);
             exchange.end();
--- a/balancer/src/test/java/calicochute/process/BadServerTest.java
+++ b/balancer/src/test/java/calicochute/process/BadServerTest.java
@@ -23,7 +23,7 @@
 
     private HttpMessage order(String response) throws Exception {
         server.script = r -> response.getBytes(StandardCharsets.ISO_8859_1);
-        return balancer.send(session(SESSION_ID, "order"), new byte[1]);
+        return balancer.send(session(newSessionId(), "order"), new byte[1]);
     }
 
     /**
--- a/balancer/src/test/java/calicochute/process/SingleServerFixture.java
+++ b/balancer/src/test/java/calicochute/process/SingleServerFixture.java
@@ -16,6 +16,13 @@
     ScriptedServer server;
     BalancerProcess balancer;
 
+    private int sessionNumber;
+
+    /** An id that no earlier session of the test has: one that may have been executed is not sent on again. */
+    final String newSessionId() {
+        return String.format("%016x", 0xc000 + ++sessionNumber);
+    }
+
     @Before
     public void start() throws Exception {
         discovery = ScriptedServer.silent(release);
