--- a/balancer/src/main/java/calicochute/admin/AdminServer.java
+++ b/balancer/src/main/java/calicochute/admin/AdminServer.java
@@ -18,6 +18,7 @@
 
     private final Operations operations;
     private final Counters counters;
+    private ConnectionAcceptor acceptor;
     private final BooleanSupplier descriptorShortage;
     /** Open connections, the oldest first. */
     private final Set<AdminConnection> connections = new LinkedHashSet<>();
@@ -32,7 +33,7 @@
     /** Starts to listen and returns the bound address. */
     public InetSocketAddress start(InetSocketAddress address) throws IOException {
         Callback<Exception> onException = e -> Log.info("admin-connection", String.valueOf(e.getMessage()));
-        ConnectionAcceptor acceptor = ConnectionAcceptor.bind(
+        acceptor = ConnectionAcceptor.bind(
                 address,
                 BACKLOG,
                 Bounds.ADMIN_CONNECTIONS + Bounds.EXTRA_ACCEPTED_CONNECTIONS,
@@ -44,6 +45,11 @@
         return acceptor.start();
     }
 
+    /** Has the timeouts of all connections checked, whatever the wall clock does; called after the start. */
+    public void checkTimeouts() {
+        acceptor.checkTimeouts();
+    }
+
     Operations operations() {
         return operations;
     }
--- a/balancer/src/main/java/calicochute/connection/Connection.java
+++ b/balancer/src/main/java/calicochute/connection/Connection.java
@@ -121,6 +121,13 @@
         return receivedUnsolicitedData;
     }
 
+    /** Cancels a connect that has not been completed; the failure callback is called. */
+    void cancelUnlessConnected() {
+        if (session == null && !closed) {
+            cancelConnect();
+        }
+    }
+
     /** Cancels the connect; the failure callback is called. */
     public void cancelConnect() {
         close();
--- a/balancer/src/main/java/calicochute/connection/Connector.java
+++ b/balancer/src/main/java/calicochute/connection/Connector.java
@@ -76,10 +76,12 @@
             Consumer<Exception> failed,
             Consumer<Connection> closed) {
         Connection connection = new Connection(closed);
-        Timeout timeout = Timeout.ofMilliseconds(Math.max(1, timeoutMicros / 1000));
         // The host name is set explicitly: HttpHost would otherwise do a reverse lookup, which can take seconds.
         HttpHost host = new HttpHost(null, address.getAddress(), address.getHostString(), address.getPort());
-        connect(connection, host, address, timeout, opened, failed, 0);
+        connect(connection, host, address, opened, failed, 0);
+        // The reactor measures its own timeout by the wall clock, which may step.
+        CompletableFuture.delayedExecutor(Math.max(1000, timeoutMicros), TimeUnit.MICROSECONDS, Runnable::run)
+                .execute(connection::cancelUnlessConnected);
         return connection;
     }
 
@@ -87,12 +89,11 @@
             Connection connection,
             HttpHost host,
             InetSocketAddress address,
-            Timeout timeout,
             Consumer<Connection> opened,
             Consumer<Exception> failed,
             int retries) {
         connection.setConnectFuture(reactor.connect(
-                host, address, null, timeout, connection, new FutureCallback<IOSession>() {
+                host, address, null, Timeout.DISABLED, connection, new FutureCallback<IOSession>() {
                     @Override
                     public void completed(IOSession session) {
                         connection.connected(session);
@@ -106,7 +107,7 @@
                                 if (connection.closed()) {
                                     failed.accept(cause);
                                 } else {
-                                    connect(connection, host, address, timeout, opened, failed, retries + 1);
+                                    connect(connection, host, address, opened, failed, retries + 1);
                                 }
                             });
                         } else {
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -493,9 +493,7 @@
 
     /** How long no request was open on the connection; negative while one is. */
     long idleMs() {
-        return state.receivingRequest || state.busy()
-                ? -1
-                : System.currentTimeMillis() - state.session.getLastEventTime();
+        return state.receivingRequest || state.busy() ? -1 : lingeringSession.idleMs();
     }
 
     void close(Counter counter) {
--- a/balancer/src/main/java/calicochute/frontend/Frontend.java
+++ b/balancer/src/main/java/calicochute/frontend/Frontend.java
@@ -103,6 +103,11 @@
         return acceptor.start();
     }
 
+    /** Has the timeouts of all connections checked, whatever the wall clock does. */
+    public void checkTimeouts() {
+        acceptor.checkTimeouts();
+    }
+
     /** Stops accepting connections; open requests are answered. */
     public void stopAccepting() throws InterruptedException {
         acceptor.stopAccepting();
--- a/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
+++ b/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.apache.hc.core5.reactor.TimeoutCheck;
 import org.apache.hc.core5.util.TimeValue;
 
 /**
@@ -230,6 +231,11 @@
         }
     }
 
+    /** Has the timeouts of all connections checked, also after the wall clock was set back; any thread may call. */
+    public void checkTimeouts() {
+        TimeoutCheck.restart(reactor);
+    }
+
     /** Stops accepting and waits for the accepting thread to end; open connections continue. */
     public void stopAccepting() throws InterruptedException {
         acceptorThreads.expectEnd();
--- a/balancer/src/main/java/calicochute/listening/LingeringSession.java
+++ b/balancer/src/main/java/calicochute/listening/LingeringSession.java
@@ -26,6 +26,7 @@
     private final IOSession session;
     private final ByteBuffer scratch;
     private final CloseState closeState = new CloseState();
+    private final MonotonicTimeout timeout;
     /** The last read returned fewer bytes than it had room for. */
     private boolean lastReadShort;
 
@@ -37,6 +38,7 @@
     LingeringSession(IOSession session, ByteBuffer scratch) {
         this.session = session;
         this.scratch = scratch;
+        timeout = new MonotonicTimeout(session.getLastEventTime(), System.nanoTime());
     }
 
     /** Whether the connection is shut down for writing and still open for reading. */
@@ -274,9 +276,30 @@
         return session.getEventMask();
     }
 
+    /**
+     * The timeout as the reactor's check needs it, which compares times of the wall clock: disabled until the time is
+     * over, and then short.
+     */
     @Override
     public Timeout getSocketTimeout() {
-        return session.getSocketTimeout();
+        Timeout configured = session.getSocketTimeout();
+        if (configured.isDisabled()) {
+            return configured;
+        }
+        long nowMs = System.currentTimeMillis();
+        boolean expired =
+                timeout.expired(session.getLastEventTime(), nowMs, System.nanoTime(), configured.toMilliseconds());
+        if (session.getLastEventTime() > nowMs) {
+            // The wall clock was set back: the reactor would wait until it has caught up.
+            session.updateReadTime();
+            timeout.rebase(session.getLastEventTime());
+        }
+        return expired ? Timeout.ONE_MILLISECOND : Timeout.DISABLED;
+    }
+
+    /** Time since bytes were last read or written or the timeout was set, in milliseconds; any thread may call. */
+    public long idleMs() {
+        return timeout.idleMs(session.getLastEventTime(), System.currentTimeMillis(), System.nanoTime());
     }
 
     @Override
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -115,7 +115,8 @@
             backendServers.recordStart(e.id(), e.startedAt());
         });
         fleet.listed(kind, entries);
-        module.accept(new BackendList(kind, entries));
+        long wallClockLead = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()) - queue.now();
+        module.accept(new BackendList(kind, entries, wallClockLead));
         stats.setMembers(overlay.listedCount(), overlay.unavailableCount());
     }
 
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -56,6 +56,8 @@
 
     /** Time until a connection accepted last is registered with its I/O thread and counted as open. */
     private static final long ACCEPT_HANDOVER_NANOS = 100_000_000L;
+    /** Interval of the checks of client connections' timeouts. */
+    private static final long TIMEOUT_CHECK_MICROS = 50_000;
     /** Greatest time that a stop waits for sessions and connections to end. */
     private static final long MAX_DRAIN_NANOS = 10_000_000_000L;
 
@@ -175,10 +177,19 @@
             Log.info("admin", "address=" + admin.start(configuration.admin()));
         }
         InetSocketAddress address = frontend.start();
+        queue.post(this::checkTimeouts);
         operators.listening();
         return address;
     }
 
+    private void checkTimeouts() {
+        frontend.checkTimeouts();
+        if (admin != null) {
+            admin.checkTimeouts();
+        }
+        queue.schedule(TIMEOUT_CHECK_MICROS, this::checkTimeouts);
+    }
+
     /**
      * Applies the parts of a configuration that can change while the process runs: the settings and the address of
      * discovery. Addresses of this process, its name and its limits stay as they were at the start.
--- a/balancer/src/test/java/calicochute/backend/StallMonitorTest.java
+++ b/balancer/src/test/java/calicochute/backend/StallMonitorTest.java
@@ -12,8 +12,7 @@
         StallMonitor monitor = new StallMonitor(0, 16_384);
         int checks = 1;
         while (checks < 10_000
-                && !monitor.hasStalled(
-                        checks * CHECK_INTERVAL_MICROS, 16_384 + checks * bytesPerCheck, awaitsSource)) {
+                && !monitor.hasStalled(checks * CHECK_INTERVAL_MICROS, 16_384 + checks * bytesPerCheck, awaitsSource)) {
             checks++;
         }
         return checks;
--- a/balancer/src/test/java/calicochute/process/BalancerProcess.java
+++ b/balancer/src/test/java/calicochute/process/BalancerProcess.java
@@ -57,6 +57,12 @@
         return new BalancerProcess("", 1024, freePort(), discovery, addresses(servers));
     }
 
+    /** With a shell command that is run before. */
+    static BalancerProcess withShell(String shell, ScriptedServer discovery, ScriptedServer... servers)
+            throws Exception {
+        return new BalancerProcess(shell, 1024, discovery, servers);
+    }
+
     /** With the addresses of backend servers that are not {@link ScriptedServer}s. */
     static BalancerProcess withBackends(ScriptedServer discovery, String... servers) throws Exception {
         return new BalancerProcess("", 1024, 0, discovery, servers);
--- a/decision/src/main/java/calicochute/decision/Balancer.java
+++ b/decision/src/main/java/calicochute/decision/Balancer.java
@@ -156,8 +156,15 @@
     /** Something that happened at the host. */
     sealed interface Event {}
 
-    /** An answer of the list service, or its failure to answer. */
-    record BackendList(ListKind kind, List<Backend> entries) implements Event {}
+    /**
+     * An answer of the list service, or its failure to answer. {@code wallClockLead} is how far the wall clock, by
+     * which the entries give their starts, is ahead of the time of events; the lead changes when the wall clock steps.
+     */
+    record BackendList(ListKind kind, List<Backend> entries, long wallClockLead) implements Event {
+        public BackendList(ListKind kind, List<Backend> entries) {
+            this(kind, entries, 0);
+        }
+    }
 
     /**
      * New settings. Open requests keep the settings under which they arrived. A class index never names another class
--- a/decision/src/main/java/calicochute/decision/BalancerState.java
+++ b/decision/src/main/java/calicochute/decision/BalancerState.java
@@ -79,6 +79,11 @@
     /** Greatest sum of sizes of the backends that were ready at the same time. */
     double maxReadySize;
 
+    /** How far the wall clock is ahead of the time of events, as of the last list. */
+    long wallClockLead;
+    /** When a list last showed that the wall clock had stepped. */
+    long wallClockSteppedAt = Long.MIN_VALUE / 2;
+
     long reviewedAt;
     long connectFailedAt = Long.MIN_VALUE / 2;
 
--- a/decision/src/main/java/calicochute/decision/ColdStartBudget.java
+++ b/decision/src/main/java/calicochute/decision/ColdStartBudget.java
@@ -21,7 +21,7 @@
             return true;
         }
         var rules = state.settings.rules();
-        double age = Math.max(0.0, state.now - backend.entry.startedAt()) / rules.warmUp();
+        double age = Math.max(0.0, state.now - backend.startedAt) / rules.warmUp();
         double warmth = rules.coldCapacityShare() + (1 - rules.coldCapacityShare()) * age;
         double perMicro = requestsPerSecond(backend) * USED_SHARE * rules.overloadMultiple() * warmth / 1e6;
         backend.allowance += perMicro * (state.now - backend.allowanceAt);
@@ -48,7 +48,6 @@
 
     boolean cold(TrackedBackend backend) {
         return backend.entry.startedAt() > 0
-                && state.now
-                        < backend.entry.startedAt() + state.settings.rules().warmUp();
+                && state.now < backend.startedAt + state.settings.rules().warmUp();
     }
 }
--- a/decision/src/main/java/calicochute/decision/Subset.java
+++ b/decision/src/main/java/calicochute/decision/Subset.java
@@ -25,6 +25,13 @@
     /** Share of the subset that is in the own zone, where crossing zones has a price. */
     private static final double OWN_ZONE_SHARE = 2.0 / 3;
 
+    /** A smaller change of the wall clock against the time of events is no step. */
+    private static final long MIN_CLOCK_STEP_MICROS = 100_000;
+    /** How long after a step of the wall clock ages by it are not believed. */
+    private static final long CLOCK_STEP_MEMORY_MICROS = 60_000_000;
+    /** Time from the start of a backend until it is listed. */
+    private static final long LISTING_MICROS = 3_000_000;
+
     /** Purpose of the timer that subscribes to the list again. */
     static final int TIMER_SUBSCRIBE = 2;
 
@@ -38,6 +45,7 @@
         if (unavailable) {
             return;
         }
+        trackWallClock(list.wallClockLead());
         if (list.kind() != ListKind.CHANGES) {
             state.backends.values().forEach(backend -> backend.listed = false);
         }
@@ -78,12 +86,29 @@
         // A random initial allowance spreads the first calls of many instances over time.
         boolean restarted = backend.entry == null || backend.entry.startedAt() != entry.startedAt();
         if (restarted) {
-            backend.restarted(state.now, state.typicalSpeed, state.random.nextDouble());
+            backend.restarted(state.now, age(entry), state.typicalSpeed, state.random.nextDouble());
         }
         backend.entry = entry;
         backend.listed = true;
     }
 
+    /**
+     * Time since the start of a backend whose start is new. If the wall clock has stepped lately, the backend may have
+     * started before the step, and an age by the wall clock is not believed beyond what it takes to be listed.
+     */
+    private long age(Backend entry) {
+        long age = Math.max(0, state.now + state.wallClockLead - entry.startedAt());
+        boolean stepped = state.now - state.wallClockSteppedAt < CLOCK_STEP_MEMORY_MICROS;
+        return stepped ? Math.min(age, LISTING_MICROS) : age;
+    }
+
+    private void trackWallClock(long wallClockLead) {
+        if (Math.abs(wallClockLead - state.wallClockLead) > MIN_CLOCK_STEP_MICROS) {
+            state.wallClockSteppedAt = state.now;
+        }
+        state.wallClockLead = wallClockLead;
+    }
+
     /** Number of backends in the subset while none of them is slow. */
     int size() {
         return (int) Math.max(
--- a/decision/src/main/java/calicochute/decision/TrackedBackend.java
+++ b/decision/src/main/java/calicochute/decision/TrackedBackend.java
@@ -11,6 +11,8 @@
 
     Backend entry;
     boolean listed;
+    /** When it last started, by the time of events. */
+    long startedAt;
     /** A request has been sent to it since it last started. */
     boolean called;
 
@@ -45,8 +47,9 @@
         return entry.weight() > 0 ? Math.max(1e-3, Math.min(1e3, entry.weight())) : 1;
     }
 
-    /** Discards the state of earlier starts. */
-    void restarted(long now, double expectedSpeed, double initialAllowance) {
+    /** Discards the state of earlier starts; {@code age} is the time since the start. */
+    void restarted(long now, long age, double expectedSpeed, double initialAllowance) {
+        startedAt = now - age;
         called = false;
         samples = 0;
         speed = expectedSpeed;
