--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -584,6 +584,10 @@
             Thread.sleep(10);
         }
         frontend.stopAccepting();
+        if (operators.lifecycle().otherProcessServing()) {
+            // Both processes share one memory limit, and the other one takes over the clients and their bodies.
+            System.gc();
+        }
         long stoppedNanos = System.nanoTime();
         // A connection accepted last is counted as open only after its I/O thread has registered it.
         while ((openCount > 0
--- a/balancer/src/main/java/calicochute/settings/Bounds.java
+++ b/balancer/src/main/java/calicochute/settings/Bounds.java
@@ -37,6 +37,10 @@
     private static final int BODY_MEMORY_DIVISOR = 6;
     /** Bodies may hold this part of the heap, whatever the memory limit is. */
     private static final int BODY_HEAP_DIVISOR = 3;
+    /** Bodies that are read ahead of their servers may hold this part of the memory limit. */
+    private static final int READ_AHEAD_MEMORY_DIVISOR = 16;
+    /** Bodies that are read ahead may hold this part of the heap, whatever the memory limit is. */
+    private static final int READ_AHEAD_HEAP_DIVISOR = 8;
     /** Greatest number of connections to the admin address, idle ones included. */
     public static final int ADMIN_CONNECTIONS = 32;
     /**
@@ -76,7 +80,9 @@
                 each,
                 each,
                 (int) Math.max(INITIAL_WINDOW_BYTES, Math.min(MAX_BUFFERED_BODY_BYTES, share)),
-                (int) Math.min(MAX_READ_AHEAD_BYTES, memoryBytes / 16),
+                (int) Math.min(
+                        MAX_READ_AHEAD_BYTES,
+                        Math.min(memoryBytes / READ_AHEAD_MEMORY_DIVISOR, heapBytes / READ_AHEAD_HEAP_DIVISOR)),
                 (int) Math.min(Integer.MAX_VALUE, bodyBytes));
     }
 }
--- a/balancer/src/test/java/calicochute/process/BalancerProcess.java
+++ b/balancer/src/test/java/calicochute/process/BalancerProcess.java
@@ -104,15 +104,18 @@
      * options, which belong to the built files and not to the memory limits.
      */
     static String exportDeployedFlags() throws IOException {
+        return "export JAVA_TOOL_OPTIONS='" + deployedFlags() + "'; ";
+    }
+
+    /** Returns the JVM flags of the deploy file, as for {@link #exportDeployedFlags}. */
+    static String deployedFlags() throws IOException {
         Matcher runCommand = Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
                 .matcher(Files.readString(Path.of("../deploy/balancer.toml")));
         assertTrue(runCommand.find());
-        return "export JAVA_TOOL_OPTIONS='"
-                + runCommand
-                        .group(1)
-                        .replaceAll("-XX:SharedArchiveFile=\\S+|-Xlog:\\S+", "")
-                        .trim()
-                + "'; ";
+        return runCommand
+                .group(1)
+                .replaceAll("-XX:SharedArchiveFile=\\S+|-Xlog:\\S+", "")
+                .trim();
     }
 
     /** With a configuration that is edited before the start. */
--- a/balancer/src/test/java/calicochute/process/BodyMemoryTest.java
+++ b/balancer/src/test/java/calicochute/process/BodyMemoryTest.java
@@ -8,8 +8,6 @@
 
 import java.io.InputStream;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -109,7 +107,9 @@
         }
         // The decision module may deny some while it learns how fast the servers are.
         assertTrue("served " + total, total > CLIENTS * REQUESTS_PER_CLIENT / 2);
-        assertTrue(peakResidentMb() + " MB", peakResidentMb() < MEMORY_LIMIT_MB);
+        assertTrue(
+                ProcessMemory.peakMb(balancer.process) + " MB",
+                ProcessMemory.peakMb(balancer.process) < MEMORY_LIMIT_MB);
     }
 
     /**
@@ -134,7 +134,9 @@
         }
         assertTrue(balancer.process.isAlive());
         assertEquals(200, balancer.send("GET /ready HTTP/1.1\r\nHost: a\r\n").status());
-        assertTrue(peakResidentMb() + " MB", peakResidentMb() < MEMORY_LIMIT_MB);
+        assertTrue(
+                ProcessMemory.peakMb(balancer.process) + " MB",
+                ProcessMemory.peakMb(balancer.process) < MEMORY_LIMIT_MB);
     }
 
     /** Sleeps so that all servers respond at the same moments, and responses are in transit together too. */
@@ -162,15 +164,6 @@
         return served;
     }
 
-    private long peakResidentMb() throws Exception {
-        for (String line : Files.readAllLines(Path.of("/proc/" + balancer.process.pid() + "/status"))) {
-            if (line.startsWith("VmHWM:")) {
-                return Long.parseLong(line.replaceAll("\\D", "")) / 1024;
-            }
-        }
-        throw new IllegalStateException("no peak memory of the process");
-    }
-
     /**
      * Guards against bodies that are cut, mixed up or left unread where memory is too short to buffer them: they are
      * streamed in both directions, whatever their framing.
--- a/balancer/src/test/java/calicochute/process/Supervisor.java
+++ b/balancer/src/test/java/calicochute/process/Supervisor.java
@@ -48,14 +48,22 @@
     private final List<Long> pids = new ArrayList<>();
 
     Supervisor() throws Exception {
+        this("");
+    }
+
+    /** With JVM flags for all processes. */
+    Supervisor(String jvmFlags) throws Exception {
         folder = Files.createTempDirectory("calicochute-platform");
         Files.createDirectory(folder.resolve("tmp"));
         List<String> command = new ArrayList<>(List.of("perl", "-e", PERL_SCRIPT, folder.toString()));
         command.addAll(BalancerProcess.command("serve", "--config"));
-        perl = new ProcessBuilder(command)
+        ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(folder.resolve("holder").toFile())
-                .start();
+                .redirectOutput(folder.resolve("holder").toFile());
+        if (!jvmFlags.isEmpty()) {
+            builder.environment().put("JAVA_TOOL_OPTIONS", jvmFlags);
+        }
+        perl = builder.start();
         BalancerProcess.await("the listening socket", () -> Files.exists(folder.resolve("port")));
         port = Integer.parseInt(Files.readString(folder.resolve("port")));
     }
@@ -94,6 +102,10 @@
                         .waitFor());
     }
 
+    long pid(int instance) {
+        return pids.get(instance);
+    }
+
     boolean hasExited(int instance) {
         return Files.exists(folder.resolve("status" + pids.get(instance)));
     }
--- a/lab/src/main/java/calicochute/lab/cli/OverheadCommand.java
+++ b/lab/src/main/java/calicochute/lab/cli/OverheadCommand.java
@@ -53,7 +53,7 @@
                         List.of(
                                 System.getProperty("java.home") + "/bin/java",
                                 "-XX:+UseSerialGC",
-                                "-Xmx96m",
+                                "-Xmx64m",
                                 "-XX:TieredStopAtLevel=1",
                                 "-cp",
                                 System.getProperty("java.class.path"),
