--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -12,6 +12,7 @@
 import java.nio.channels.IllegalBlockingModeException;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.ConnectionClosedException;
@@ -28,7 +29,6 @@
 import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.RequestValidateHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.EventMask;
 import org.apache.hc.core5.reactor.IOSession;
@@ -62,8 +62,13 @@
     /** How long after its last response the connection is closed if the client has not closed it. */
     private static final long FINAL_RESPONSE_LINGER_MS = 250;
 
-    private static final HttpProcessor PROCESSOR =
-            HttpProcessorBuilder.create().add(new RequestValidateHost()).build();
+    /**
+     * Responses of a connection that may wait to be written. A client with one request at a time causes one, and a
+     * second for the moment in which the first is being given up.
+     */
+    private static final int MAX_UNWRITTEN_RESPONSES = 4;
+
+    private static final HttpProcessor PROCESSOR = HttpProcessorBuilder.create().build();
 
     /** State that a connection shares with its request handlers and its head parser, which are created before it. */
     static final class State {
@@ -74,6 +79,8 @@
         private RequestProgress progress = new RequestProgress();
         /** Whether a request is expected or arriving; false from its end until the next request's first byte. */
         volatile boolean receivingRequest = true;
+        /** Requests whose responses HttpCore has not written yet. */
+        private final AtomicInteger unwrittenResponses = new AtomicInteger();
         /** Whether any input was received on this connection. */
         private volatile boolean inputReceived;
         /**
@@ -122,6 +129,21 @@
             return owesResponse() || !receivingRequest && handler != null && handler.responseUnwritten();
         }
 
+        /** Whether a further request may be read, or the client sends without waiting for responses. */
+        boolean mayReadRequest() {
+            return !owesResponse() && unwrittenResponses.get() < MAX_UNWRITTEN_RESPONSES;
+        }
+
+        /** The head of a request is complete. */
+        void requestBegun() {
+            unwrittenResponses.incrementAndGet();
+        }
+
+        /** HttpCore has written the response of a request, or given it up. */
+        void responseWritten() {
+            unwrittenResponses.decrementAndGet();
+        }
+
         /** The progress of the request whose head is complete now; on the I/O thread. */
         RequestProgress progressOfRequest() {
             if (progress.isComplete()) {
--- a/balancer/src/main/java/calicochute/frontend/RequestHeadParser.java
+++ b/balancer/src/main/java/calicochute/frontend/RequestHeadParser.java
@@ -10,17 +10,23 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpRequestFactory;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.UnsupportedHttpVersionException;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.RequestValidateHost;
 
 /** Parses request heads on one client connection and rejects ambiguous ones. */
 final class RequestHeadParser implements NHttpMessageParser<HttpRequest> {
+    private static final RequestValidateHost HOST_CHECK = new RequestValidateHost();
     private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
     /**
      * Keeps the request target unchanged: HttpCore's own factory takes the first segment of a target that starts with
@@ -52,7 +58,7 @@
     public HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
         // Clients have one request open at a time. Pipelined requests would let one connection open hundreds, so
         // input before the response is discarded and the connection closes after that response.
-        if (state.noMoreRequests || buffer.hasData() && state.owesResponse()) {
+        if (state.noMoreRequests || buffer.hasData() && !state.mayReadRequest()) {
             state.noMoreRequests = true;
             return null;
         }
@@ -60,6 +66,8 @@
             HttpRequest request = parser.parse(buffer, endOfStream);
             if (request != null) {
                 check(request);
+                // Last, because it sets the authority, which the target is checked for.
+                checkHost(request);
             }
             return request;
         } catch (MessageConstraintException e) {
@@ -76,6 +84,18 @@
         return exception;
     }
 
+    /**
+     * Makes the checks that HttpCore makes only after the head was parsed: it would answer such a request itself and go
+     * on reading, so that a flood of them would pile up responses.
+     */
+    private static void checkHost(HttpRequest request) throws HttpException, IOException {
+        ProtocolVersion version = request.getVersion() == null ? HttpVersion.HTTP_1_1 : request.getVersion();
+        if (version.greaterEquals(HttpVersion.HTTP_2)) {
+            throw new UnsupportedHttpVersionException(version);
+        }
+        HOST_CHECK.process(request, null, HttpCoreContext.create());
+    }
+
     /**
      * Prevents request smuggling: if two parsers disagree on where a body ends, the second one reads the rest as
      * another request.
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -69,6 +69,7 @@
         memory = new SessionMemory(frontend.bodyBudget());
         requestBody = new RequestBody(connection, memory.request());
         progress = connection.progressOfRequest();
+        connection.requestBegun();
     }
 
     @Override
@@ -347,6 +348,9 @@
 
     @Override
     public void releaseResources() {
+        if (!released) {
+            connection.responseWritten();
+        }
         released = true;
         requestBody.release();
         memory.releaseConnection();
