--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -5,6 +5,7 @@
 import calicochute.framing.ParserLimits;
 import calicochute.listening.LingeringSession;
 import calicochute.metrics.Counter;
+import calicochute.metrics.Log;
 import java.io.IOException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
@@ -12,6 +13,7 @@
 import java.nio.channels.IllegalBlockingModeException;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
@@ -520,6 +522,7 @@
 
     void close(Counter counter) {
         state.frontend.counters().count(counter);
+        Log.info("client-closed", "reason=" + counter.name().toLowerCase(Locale.ROOT));
         state.session.close(CloseMode.GRACEFUL);
     }
 
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -37,6 +37,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -273,6 +274,7 @@
             // A second session of the same client id would duplicate the dispatches of the first.
             counters.count(Counter.SESSIONS_BAD_INPUT);
             exchange.respond(new Response.Duplicate());
+            logEnd(exchange, "duplicate-id");
             countEnd(exchange, OperatorStats.SessionEnd.FAILED);
             exchange.end();
             return;
@@ -373,6 +375,7 @@
             counters.count(Counter.SESSIONS_CLIENT_GONE);
             countEnd(exchange, OperatorStats.SessionEnd.GONE);
             fleet.sessionAnswered(exchange, false, false);
+            logEnd(exchange, "client-gone");
             exchange.abandon();
             withdraw(exchange);
             retire(exchange);
@@ -422,6 +425,9 @@
                             : response instanceof Response.Denied
                                     ? OperatorStats.SessionEnd.REJECTED
                                     : OperatorStats.SessionEnd.FAILED);
+            if (!(response instanceof Response.Served)) {
+                logEnd(exchange, response.getClass().getSimpleName().toLowerCase(Locale.ROOT));
+            }
             fleet.sessionAnswered(
                     exchange, response instanceof Response.Served, !(response instanceof Response.Served));
             deadlineGuards.cancel(exchange);
@@ -429,6 +435,17 @@
         }
     }
 
+    /** Logs how a session ended that was not served. */
+    private void logEnd(Exchange exchange, String reason) {
+        long now = queue.now();
+        Log.info(
+                "session-ended",
+                "id=" + exchange.clientId + " reason=" + reason + " dispatches=" + exchange.dispatchCount()
+                        + " request_complete=" + exchange.requestComplete()
+                        + " ms=" + (now - exchange.receivedAt()) / 1000
+                        + " ms_left=" + (exchange.deadline(now) - now) / 1000);
+    }
+
     private void countEnd(Exchange exchange, OperatorStats.SessionEnd end) {
         stats.sessionEnded(settingsHistory.classes().get(exchange.classIndex).name(), end);
     }
@@ -463,6 +480,12 @@
         }
         refuseIfClientUnobserved(exchange, outcome);
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
+        if (outcome != Outcome.OK) {
+            Log.info(
+                    "dispatch-ended",
+                    "id=" + exchange.clientId + " number=" + dispatch.number + " server=" + dispatch.server
+                            + " outcome=" + outcome + " ms=" + (queue.now() - dispatch.sentAt) / 1000);
+        }
         fleet.dispatchEnded(dispatch, outcome, elapsedMicros(dispatch));
         if (response != null) {
             respond(exchange, response);
