--- a/balancer/src/test/java/calicochute/process/SingleServerFixture.java
+++ b/balancer/src/test/java/calicochute/process/SingleServerFixture.java
@@ -1,6 +1,7 @@
 package calicochute.process;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.fail;
 
 import java.util.concurrent.CountDownLatch;
 import org.junit.After;
@@ -8,6 +9,8 @@
 
 /** Base of tests with one balancer, one backend server and a discovery service without changes to report. */
 abstract class SingleServerFixture {
+    private static final int MAX_REFUSED_UPLOADS = 20;
+
     static final String SESSION_ID = "9b1f03aa5c7e2d41";
     /** Releases the scripts that hold back a response; counted down at the end of each test at the latest. */
     final CountDownLatch release = new CountDownLatch(1);
@@ -44,6 +47,30 @@
         assertEquals(1, server.requests.size());
     }
 
+    /** Sends a part of a request on a connection of its own and closes it. */
+    interface Upload {
+        void send(String sessionId) throws Exception;
+    }
+
+    /**
+     * Sends an upload until its dispatch has begun and is cancelled. On a busy machine the first ones may be refused,
+     * because it was not known for too long whether the client was connected.
+     */
+    final void awaitCancelledUpload(Upload upload) throws Exception {
+        for (int i = 0; i < MAX_REFUSED_UPLOADS; i++) {
+            long refused = balancer.counter("sessions_client_unobserved");
+            upload.send(newSessionId());
+            BalancerProcess.await(
+                    "the dispatch is cancelled, or refused",
+                    () -> balancer.counter("dispatches_cancelled") == 1
+                            || balancer.counter("sessions_client_unobserved") > refused);
+            if (balancer.counter("dispatches_cancelled") == 1) {
+                return;
+            }
+        }
+        fail("no upload was dispatched");
+    }
+
     @After
     public void stop() throws Exception {
         release.countDown();
