--- a/balancer/src/test/java/calicochute/process/FaultShim.java
+++ b/balancer/src/test/java/calicochute/process/FaultShim.java
@@ -15,13 +15,11 @@
  * from {@code fault_shim.c}, is loaded into the process; a shared file tells it the faults in force.
  */
 final class FaultShim {
-    static final int ENOSPC = 28;
     static final int ENFILE = 23;
     static final int ECONNABORTED = 103;
     static final int ENETUNREACH = 101;
     static final int EADDRNOTAVAIL = 99;
     static final int ENOBUFS = 105;
-    static final int EIO = 5;
     static final int NONE = 0;
 
     /** What can be changed, in the order of the library's table. */
@@ -29,8 +27,7 @@
         CLOCK_OFFSET_SECONDS,
         ACCEPT_ERRNO,
         SOCKET_ERRNO,
-        CONNECT_ERRNO,
-        FILE_WRITE_ERRNO
+        CONNECT_ERRNO
     }
 
     private static Path library;
--- a/balancer/src/test/resources/fault_shim.c
+++ b/balancer/src/test/resources/fault_shim.c
@@ -10,7 +10,6 @@
 #include <stdlib.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
@@ -20,7 +19,6 @@
     ACCEPT_ERRNO,
     SOCKET_ERRNO,
     CONNECT_ERRNO,
-    FILE_WRITE_ERRNO,
     FAULTS
 };
 
@@ -45,11 +43,6 @@
     return error != 0;
 }
 
-static int is_regular_file(int fd) {
-    struct stat status;
-    return fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
-}
-
 int clock_gettime(clockid_t clock, struct timespec *result) {
     static int (*next)(clockid_t, struct timespec *);
     if (next == NULL) {
@@ -94,23 +87,3 @@
     }
     return fails(CONNECT_ERRNO) ? -1 : next(fd, address, length);
 }
-
-ssize_t write(int fd, const void *bytes, size_t count) {
-    static ssize_t (*next)(int, const void *, size_t);
-    if (next == NULL) {
-        next = dlsym(RTLD_NEXT, "write");
-    }
-    /* Standard output and standard error hold the log, which a test reads. */
-    return fd > STDERR_FILENO && faults != NULL && faults[FILE_WRITE_ERRNO] != 0 && is_regular_file(fd)
-                    && fails(FILE_WRITE_ERRNO)
-            ? -1
-            : next(fd, bytes, count);
-}
-
-ssize_t pwrite64(int fd, const void *bytes, size_t count, off64_t offset) {
-    static ssize_t (*next)(int, const void *, size_t, off64_t);
-    if (next == NULL) {
-        next = dlsym(RTLD_NEXT, "pwrite64");
-    }
-    return fails(FILE_WRITE_ERRNO) ? -1 : next(fd, bytes, count, offset);
-}
