--- a/balancer/src/main/java/calicochute/exchange/Exchange.java
+++ b/balancer/src/main/java/calicochute/exchange/Exchange.java
@@ -137,7 +137,7 @@
 
     /** Whether the client has still to send a part of its request, as far as is known. */
     public boolean awaitsClient() {
-        return !progress.isComplete() && progress.awaitsClient();
+        return progress.awaitsClient();
     }
 
     /** Whether part of a streamed request body was already sent to a server, so that no other dispatch is possible. */
--- a/balancer/src/main/java/calicochute/exchange/RequestProgress.java
+++ b/balancer/src/main/java/calicochute/exchange/RequestProgress.java
@@ -13,7 +13,7 @@
     /** Bytes that may have left the socket without being counted as received. */
     private static final int UNCOUNTED_BYTES = 2 * Bounds.READ_BUFFER_BYTES;
 
-    /** All that the client has written was read, and the request is not complete. */
+    /** All that the client has written was read, and the request is not complete; never true of a complete one. */
     private boolean awaitsClient = true;
 
     private boolean complete;
@@ -27,7 +27,7 @@
 
     /** Input has arrived. */
     public synchronized void inputArrived(long now) {
-        if (awaitsClient && !complete) {
+        if (awaitsClient) {
             awaitsClient = false;
             possibleEnd = now;
         }
--- a/balancer/src/main/java/calicochute/listening/MonotonicTimeout.java
+++ b/balancer/src/main/java/calicochute/listening/MonotonicTimeout.java
@@ -22,12 +22,7 @@
 
     /** Whether the timeout has passed since the last event, which the wall clock says was at {@code eventMs}. */
     synchronized boolean expired(long eventMs, long nowMs, long nowNanos, long timeoutMs) {
-        if (eventMs != lastEventMs) {
-            long ageMs = Math.max(0, Math.min(MAX_CHECK_INTERVAL_MS, nowMs - eventMs));
-            lastEventMs = eventMs;
-            lastEventNanos = nowNanos - ageMs * NANOS_PER_MS;
-        }
-        return elapsedMs(nowNanos) >= timeoutMs;
+        return idleMs(eventMs, nowMs, nowNanos) >= timeoutMs;
     }
 
     /** The last event has a new wall-clock time, because the clock was set back. */
@@ -35,13 +30,13 @@
         lastEventMs = eventMs;
     }
 
-    private long elapsedMs(long nowNanos) {
-        return (nowNanos - lastEventNanos) / NANOS_PER_MS;
-    }
-
-    /** Time since the last event that is known, in milliseconds. */
+    /** Time since the last event, in milliseconds. */
     synchronized long idleMs(long eventMs, long nowMs, long nowNanos) {
-        expired(eventMs, nowMs, nowNanos, 0);
-        return elapsedMs(nowNanos);
+        if (eventMs != lastEventMs) {
+            long ageMs = Math.max(0, Math.min(MAX_CHECK_INTERVAL_MS, nowMs - eventMs));
+            lastEventMs = eventMs;
+            lastEventNanos = nowNanos - ageMs * NANOS_PER_MS;
+        }
+        return (nowNanos - lastEventNanos) / NANOS_PER_MS;
     }
 }
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -29,17 +29,14 @@
 import calicochute.takeover.LearntFile;
 import calicochute.takeover.Origin;
 import calicochute.takeover.ProcessLock;
-import calicochute.takeover.RequestIdFile;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 
 /**
@@ -81,12 +78,7 @@
     private final Balancer.Actions actions;
     private final Map<Long, Exchange> openSessions = new HashMap<>();
     private final DeadlineGuards deadlineGuards;
-    /** Client ids of the open sessions. */
-    private final Set<String> clientIds = new HashSet<>();
-
-    private final ExecutedRequests executedRequests = new ExecutedRequests();
-    /** The ids that other processes of this balancer must not send on again; null if there are none. */
-    private final RequestIdFile sharedIds;
+    private final SessionIds sessionIds;
     /** After SIGTERM: the timer that cuts off streamed responses. */
     private DecisionQueue.Timer streamCut;
 
@@ -157,9 +149,7 @@
                         counters,
                         membership::runOnFileThread,
                         () -> operators.lifecycle().state() != Lifecycle.State.STOPPING);
-        sharedIds = inheritedSocket == null || sharedFolder == null
-                ? null
-                : new RequestIdFile(sharedFolder, ExecutedRequests.RETENTION_MICROS);
+        sessionIds = new SessionIds(inheritedSocket == null ? null : sharedFolder);
         settings.classes().forEach(c -> stats.addClass(c.name()));
     }
 
@@ -270,16 +260,15 @@
             exchange.end();
             return;
         }
-        if (clientIds.contains(exchange.clientId) || mayHaveExecutedBefore(exchange)) {
+        if (!sessionIds.open(exchange, isRepeatable(exchange), queue.now())) {
             // A second session of the same client id would duplicate the dispatches of the first.
             counters.count(Counter.SESSIONS_BAD_INPUT);
             exchange.respond(new Response.Duplicate());
-            logEnd(exchange, "duplicate-id");
+            SessionLog.ended(exchange, "duplicate-id", queue.now());
             countEnd(exchange, OperatorStats.SessionEnd.FAILED);
             exchange.end();
             return;
         }
-        clientIds.add(exchange.clientId);
         openSessions.put(exchange.id, exchange);
         openCount = openSessions.size();
         long timeLeftMicros = exchange.responseDue(queue.now()) - queue.now();
@@ -297,22 +286,13 @@
                 fleet.sessionStarted(exchange)));
     }
 
-    /** Whether a server may have executed a session of the same client id that must not be executed again. */
-    private boolean mayHaveExecutedBefore(Exchange exchange) {
-        return !isRepeatable(exchange)
-                && (executedRequests.contains(exchange.clientId, queue.now())
-                        || sharedIds != null && sharedIds.contains(exchange.clientId));
-    }
-
     private boolean isRepeatable(Exchange exchange) {
         return settingsHistory.classes().get(exchange.classIndex).effect() == Balancer.Effect.REPEATABLE;
     }
 
     /** Called before a dispatch of the session is sent. */
     void dispatching(Exchange exchange) {
-        if (sharedIds != null && !isRepeatable(exchange)) {
-            sharedIds.add(exchange.clientId);
-        }
+        sessionIds.dispatching(exchange, isRepeatable(exchange));
     }
 
     /**
@@ -375,7 +355,7 @@
             counters.count(Counter.SESSIONS_CLIENT_GONE);
             countEnd(exchange, OperatorStats.SessionEnd.GONE);
             fleet.sessionAnswered(exchange, false, false);
-            logEnd(exchange, "client-gone");
+            SessionLog.ended(exchange, "client-gone", queue.now());
             exchange.abandon();
             withdraw(exchange);
             retire(exchange);
@@ -426,7 +406,7 @@
                                     ? OperatorStats.SessionEnd.REJECTED
                                     : OperatorStats.SessionEnd.FAILED);
             if (!(response instanceof Response.Served)) {
-                logEnd(exchange, response.getClass().getSimpleName().toLowerCase(Locale.ROOT));
+                SessionLog.ended(exchange, response.getClass().getSimpleName().toLowerCase(Locale.ROOT), queue.now());
             }
             fleet.sessionAnswered(
                     exchange, response instanceof Response.Served, !(response instanceof Response.Served));
@@ -435,17 +415,6 @@
         }
     }
 
-    /** Logs how a session ended that was not served. */
-    private void logEnd(Exchange exchange, String reason) {
-        long now = queue.now();
-        Log.info(
-                "session-ended",
-                "id=" + exchange.clientId + " reason=" + reason + " dispatches=" + exchange.dispatchCount()
-                        + " request_complete=" + exchange.requestComplete()
-                        + " ms=" + (now - exchange.receivedAt()) / 1000
-                        + " ms_left=" + (exchange.deadline(now) - now) / 1000);
-    }
-
     private void countEnd(Exchange exchange, OperatorStats.SessionEnd end) {
         stats.sessionEnded(settingsHistory.classes().get(exchange.classIndex).name(), end);
     }
@@ -456,10 +425,7 @@
                 && !exchange.anyPending()
                 && !exchange.streamingResponse()
                 && openSessions.remove(exchange.id) != null) {
-            clientIds.remove(exchange.clientId);
-            if (!isRepeatable(exchange) && exchange.mayHaveExecuted()) {
-                executedRequests.add(exchange.clientId, queue.now());
-            }
+            sessionIds.close(exchange, isRepeatable(exchange), queue.now());
             deadlineGuards.cancel(exchange);
             fleet.sessionRetired(exchange);
             exchange.end();
@@ -480,12 +446,7 @@
         }
         refuseIfClientUnobserved(exchange, outcome);
         counters.count(Counter.valueOf("DISPATCHES_" + outcome));
-        if (outcome != Outcome.OK) {
-            Log.info(
-                    "dispatch-ended",
-                    "id=" + exchange.clientId + " number=" + dispatch.number + " server=" + dispatch.server
-                            + " outcome=" + outcome + " ms=" + (queue.now() - dispatch.sentAt) / 1000);
-        }
+        SessionLog.dispatchEnded(dispatch, outcome, queue.now());
         fleet.dispatchEnded(dispatch, outcome, elapsedMicros(dispatch));
         if (response != null) {
             respond(exchange, response);
--- a/balancer/src/test/java/calicochute/process/ScriptedServer.java
+++ b/balancer/src/test/java/calicochute/process/ScriptedServer.java
@@ -81,11 +81,13 @@
         }
     }
 
-    private interface ThrowingRunnable {
+    /** Work that ends with an exception when its socket is closed. */
+    interface ThrowingRunnable {
         void run() throws Exception;
     }
 
-    private static void start(ThrowingRunnable task) {
+    /** Runs a task on a thread of its own. */
+    static void start(ThrowingRunnable task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
--- a/balancer/src/test/java/calicochute/process/UnreadRequestTest.java
+++ b/balancer/src/test/java/calicochute/process/UnreadRequestTest.java
@@ -75,31 +75,15 @@
 
     /** Accepts connections and serves each on a thread of its own. */
     private void accept(Reader reader) {
-        startThread(() -> {
+        ScriptedServer.start(() -> {
             while (true) {
                 Socket socket = listener.accept();
                 accepted.add(socket);
-                startThread(() -> reader.read(socket.getInputStream()));
+                ScriptedServer.start(() -> reader.read(socket.getInputStream()));
             }
         });
     }
 
-    private interface ThrowingRunnable {
-        void run() throws Exception;
-    }
-
-    private static void startThread(ThrowingRunnable task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception e) {
-                // The socket was closed; the thread ends.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** Less memory than one request needs to be read ahead of its server. */
     private static String withLittleMemory(String config) {
         return config.replace("\"memory_mb\":128", "\"memory_mb\":16");
