--- a/lab/src/test/java/calicochute/lab/process/ScriptedBalancer.java
+++ b/lab/src/test/java/calicochute/lab/process/ScriptedBalancer.java
@@ -15,6 +15,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -204,11 +205,16 @@
                         answer = "HTTP/1.1 200 -\r\nContent-Length: 2\r\n\r\nok".getBytes();
                     }
                 }
-                client.getOutputStream().write(answer);
-                if (mode.equals("answers-twice") && SESSIONS.get() % 10 == 0) {
-                    client.getOutputStream().write(answer);
-                }
+                boolean twice = mode.equals("answers-twice") && SESSIONS.get() % 10 == 0;
+                // Both in one write: a second answer that comes later is taken for the answer to the next request.
+                client.getOutputStream().write(twice ? repeat(answer) : answer);
             }
         }
     }
+
+    private static byte[] repeat(byte[] answer) {
+        byte[] both = Arrays.copyOf(answer, 2 * answer.length);
+        System.arraycopy(answer, 0, both, answer.length, answer.length);
+        return both;
+    }
 }
