--- a/review/standins-2/src/review2/Balancer.java
+++ b/review/standins-2/src/review2/Balancer.java
@@ -11,6 +11,9 @@
 
 /** One balancer, started with the run line of the deploy file from the root of the repository. */
 final class Balancer {
+    /** The tenant of all requests, at either site. */
+    static final String TENANT = "tenant-1";
+
     final Process process;
     final int port;
     final Path config;
@@ -21,10 +24,10 @@
         this.config = config;
     }
 
-    /** The settings of a small deployment of the archive: its front tier, one balancer. */
-    static String settings(String discoveryMode, long drainGraceMicros) {
+    /** The settings of the front tier of the site ulaanbaatar-maps; one balancer. */
+    static String mapsSettings() {
         return """
-            {"accounts":[{"allowance_per_s":400.0,"name":"state-archive","portion":1.0}],"balancers":1,
+            {"accounts":[{"allowance_per_s":400.0,"name":"tenant-1","portion":1.0}],"balancers":1,
             "caps":{"cancel":true,"conn_idle":30000000,"connect_timeout":150000,"max_attempts":3,"max_open":20000,
             "max_retry_after":3000000,"peers":false,"probes":true,"retry_after":true,"second_copies":false,
             "streams_per_conn":1},
@@ -35,14 +38,34 @@
             "objective":3000000,"points":5.0,"streaming":false,"window":5000000},
             {"deadline":4000000,"effect":"by_key","key_scope":"all","late_worth":0.0,"name":"register-scan",
             "objective":1500000,"points":3.0,"streaming":false,"window":7500000}],
-            "client_habits":{"marks_retry":true},"dcs":"ub-east","discovery":"DISCOVERY",
+            "client_habits":{"marks_retry":true},"dcs":"ub-east","discovery":"on_request",
             "domain":{"passes_deadline":false},"layer":0,"layers":"front","me":0,
-            "obligations":{"answer_slack":20000,"ask_every":10000000,"cold_from":0.32,"drain_grace":GRACE,
+            "obligations":{"answer_slack":20000,"ask_every":10000000,"cold_from":0.32,"drain_grace":3000000,
             "fall":3000000,"fall_multiple":3.0,"warm_up":8900000},
             "over_share_worth":0.05,"prices":{"cross_zone":0.09,"late_fail":0.03,"waste":0.2},
-            "report":{"source":"silent"},"tick":5000,"weights":"nominal","worth_by":"work","zone":"ub-east"}"""
-                .replace("DISCOVERY", discoveryMode)
-                .replace("GRACE", Long.toString(drainGraceMicros));
+            "report":{"source":"silent"},"tick":5000,"weights":"nominal","worth_by":"work","zone":"ub-east"}""";
+    }
+
+    /** The settings of the front tier of the site kigali-main, where lists are pushed; one balancer. */
+    static String kigaliSettings() {
+        return """
+            {"accounts":[{"allowance_per_s":400.0,"name":"tenant-1","portion":1.0}],"balancers":1,
+            "caps":{"cancel":true,"conn_idle":30000000,"connect_timeout":150000,"max_attempts":4,"max_open":20000,
+            "max_retry_after":2000000,"peers":false,"probes":true,"retry_after":true,"second_copies":true,
+            "streams_per_conn":1},
+            "classes":[
+            {"deadline":4000000,"effect":"repeatable","key_scope":"all","late_worth":0.0,"name":"balance",
+            "objective":1500000,"points":1.0,"streaming":false,"window":5000000},
+            {"deadline":1200000,"effect":"once","key_scope":"all","late_worth":0.0,"name":"repay",
+            "objective":500000,"points":2.0,"streaming":false,"window":5000000},
+            {"deadline":2500000,"effect":"by_key","key_scope":"all","late_worth":0.0,"name":"disburse",
+            "objective":1000000,"points":10.0,"streaming":false,"window":4000000}],
+            "client_habits":{"marks_retry":false},"dcs":"kigali-dc","discovery":"pushed",
+            "domain":{"passes_deadline":true},"layer":0,"layers":"front","me":0,
+            "obligations":{"answer_slack":20000,"ask_every":10000000,"cold_from":0.13,"drain_grace":250000,
+            "fall":1000000,"fall_multiple":3.0,"warm_up":23000000},
+            "over_share_worth":0.05,"prices":{"late_fail":0.039,"waste":0.2},
+            "report":{"source":"silent"},"tick":5000,"weights":"nominal","worth_by":"request","zone":"kigali-dc"}""";
     }
 
     static Path configure(
@@ -53,7 +76,8 @@
                 config,
                 "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\","
                         + (adminPort == 0 ? "" : "\"admin_addr\":\"127.0.0.1:" + adminPort + "\",")
-                        + "\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":" + limits
+                        + "\"discovery\":\"" + discovery + "\",\"seed\":\"" + Long.toHexString(System.nanoTime())
+                        + "\",\"limits\":" + limits
                         + ",\"known\":" + known + ",\"settings\":" + settings + "}");
         return config;
     }
--- a/review/standins-2/src/review2/Client.java
+++ b/review/standins-2/src/review2/Client.java
@@ -35,10 +35,12 @@
 
     /** Sends a request of a class; the method follows from the class. */
     void send(String id, String requestClass, String path, long remainingMs, byte[] body) throws IOException {
-        boolean repeatable = requestClass.equals("view-map");
+        boolean repeatable = requestClass.equals("view-map") || requestClass.equals("balance");
         String head = (repeatable ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: service.internal\r\nX-Txn: " + id
-                + "\r\nX-Lane: " + requestClass + "\r\nX-Org: state-archive\r\nX-Remaining-Ms: " + remainingMs + "\r\n"
-                + (requestClass.equals("register-scan") ? "Idempotency-Key: " + id + id + "\r\n" : "")
+                + "\r\nX-Lane: " + requestClass + "\r\nX-Org: " + Balancer.TENANT + "\r\nX-Remaining-Ms: " + remainingMs + "\r\n"
+                + (requestClass.equals("register-scan") || requestClass.equals("disburse")
+                        ? "Idempotency-Key: " + id + id + "\r\n"
+                        : "")
                 + (repeatable ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n";
         byte[] bytes = new byte[head.length() + body.length];
         System.arraycopy(head.getBytes(), 0, bytes, 0, head.length());
--- a/review/standins-2/src/review2/SecondAnswer.java
+++ b/review/standins-2/src/review2/SecondAnswer.java
@@ -70,7 +70,7 @@
                                 0,
                                 discovery.address(),
                                 discovery.list(-1),
-                                Balancer.settings("on_request", 3_000_000),
+                                Balancer.mapsSettings(),
                                 "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}"),
                         port,
                         Rig.folder,
--- a/review/standins-2/src/review2/UpgradeInOutage.java
+++ b/review/standins-2/src/review2/UpgradeInOutage.java
@@ -84,7 +84,7 @@
             discovery.set(server.id, Discovery.entry(server.id, server.address(), "ub-east", "Ready", 0));
         }
         String known = discovery.list(-1);
-        String settings = Balancer.settings("on_request", GRACE_MICROS);
+        String settings = Balancer.mapsSettings();
         String limits = "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}";
         int oldAdmin = Rig.freePort();
         int newAdmin = Rig.freePort();
