--- a/review/standins-2/src/review2/Upstream.java
+++ b/review/standins-2/src/review2/Upstream.java
@@ -23,6 +23,11 @@
         void answer(int status, String fields, byte[] body) throws IOException {
             byte[] head = ("HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: " + body.length + "\r\n\r\n")
                     .getBytes();
+            if (body.length > 1 << 16) {
+                out.write(head);
+                out.write(body);
+                return;
+            }
             byte[] all = new byte[head.length + body.length];
             System.arraycopy(head, 0, all, 0, head.length);
             System.arraycopy(body, 0, all, head.length, body.length);
