--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -224,7 +224,12 @@
         if (known != null) {
             discovery.resumeFrom(known.generation());
         }
-        membership.restored(known == null ? new ServerList(0, true, List.of(), Map.of()) : known);
+        ServerList first = known == null ? new ServerList(0, true, List.of(), Map.of()) : known;
+        Log.info(
+                "first-list",
+                "source=" + (known == null ? "none" : "configuration") + " generation=" + first.generation()
+                        + " entries=" + first.entries().size());
+        membership.restored(first);
         if (!configuration.settings().subscribes()) {
             discovery.start();
         }
