--- a/balancer/src/main/java/calicochute/cordon/CordonFile.java
+++ b/balancer/src/main/java/calicochute/cordon/CordonFile.java
@@ -1,15 +1,14 @@
 package calicochute.cordon;
 
 import calicochute.metrics.Log;
+import calicochute.takeover.FileChange;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.util.function.UnaryOperator;
 
 /**
@@ -21,9 +20,8 @@
     private final int tier;
     private final Path file;
     private final Path lockFile;
+    private final FileChange change;
     private Cordons current = Cordons.NONE;
-    /** Identity, modification time and size of the file as last read; null if it has to be read again. */
-    private Object lastReadKey;
     /** The file as last read is truncated or belongs to another balancer. */
     private boolean unusable;
 
@@ -36,6 +34,7 @@
         this.tier = tier;
         file = shared == null ? null : shared.file(".out");
         lockFile = shared == null ? null : shared.file(".out.lock");
+        change = shared == null ? null : new FileChange(file);
     }
 
     /** The cordons in the file. If it is missing, truncated or another balancer's, those last known stay in force. */
@@ -43,43 +42,45 @@
         if (file == null) {
             return current;
         }
-        try {
-            BasicFileAttributes attributes = Files.readAttributes(file, BasicFileAttributes.class);
-            Object key = attributes.fileKey() + " " + attributes.lastModifiedTime() + " " + attributes.size();
-            if (!key.equals(lastReadKey)) {
-                Cordons read = Cordons.parse(Files.readString(file), balancer, tier);
-                unusable = read == null;
-                if (unusable) {
-                    Log.warn(
-                            "outages-not-used",
-                            file.getFileName() + " is truncated or does not belong to " + balancer + " at tier " + tier
-                                    + "; servers that stay cordoned: "
-                                    + current.sinceMs().keySet());
-                }
-                current = read == null ? current : read;
-                lastReadKey = key;
+        if (change.unread()) {
+            Cordons read = parse();
+            unusable = read == null;
+            if (unusable) {
+                Log.warn(
+                        "outages-not-used",
+                        file.getFileName() + " is truncated or does not belong to " + balancer + " at tier " + tier
+                                + "; servers that stay cordoned: "
+                                + current.sinceMs().keySet());
             }
-        } catch (NoSuchFileException e) {
-            lastReadKey = null;
+            current = read == null ? current : read;
         }
         return current;
     }
 
+    private Cordons parse() throws IOException {
+        try {
+            return Cordons.parse(Files.readString(file), balancer, tier);
+        } catch (IOException e) {
+            change.forget();
+            throw e;
+        }
+    }
+
     /** Changes the cordons of all processes; they are in the file when this returns. */
-    public Cordons update(UnaryOperator<Cordons> change) throws IOException {
+    public Cordons update(UnaryOperator<Cordons> operator) throws IOException {
         if (file == null) {
-            current = change.apply(current);
+            current = operator.apply(current);
             return current;
         }
         try (FileChannel channel = FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
                 FileLock lock = channel.lock()) {
             assert lock.isValid();
-            Cordons next = change.apply(read());
+            Cordons next = operator.apply(read());
             // An unchanged set is written too if the file does not hold it: the operator is told that the file does.
-            if (!next.equals(current) || lastReadKey == null || unusable) {
+            if (!next.equals(current) || !change.wasRead() || unusable) {
                 SharedFolder.replace(file, next.toJson(balancer, tier));
                 current = next;
-                lastReadKey = null;
+                change.forget();
             }
             return current;
         }
--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -17,12 +17,9 @@
 import calicochute.metrics.OperatorStats;
 import java.io.IOException;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
-import org.apache.hc.core5.concurrent.DefaultThreadFactory;
 
 /**
  * The backend servers as the decision module knows them: discovery's list with the operators' cordons applied. The
@@ -38,8 +35,7 @@
     private final Consumer<BackendList> module;
     private final CordonFile file;
     private final CordonOverlay overlay = new CordonOverlay();
-    private final ScheduledExecutorService fileThread =
-            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("outage-file", true));
+    private final FileThread fileThread;
     private FleetParticipant fleet = FleetParticipant.OFF;
     /** As last read from the file or written to it. */
     private Cordons lastCordons = Cordons.NONE;
@@ -56,11 +52,13 @@
             OperatorStats stats,
             DecisionQueue queue,
             CordonFile file,
+            FileThread fileThread,
             Consumer<BackendList> module) {
         this.backendServers = backendServers;
         this.stats = stats;
         this.queue = queue;
         this.file = file;
+        this.fileThread = fileThread;
         this.module = module;
     }
 
@@ -76,8 +74,14 @@
 
     // ---- Discovery
 
-    void restored(ServerList knownList) {
-        apply(ListKind.RESTORED, knownList);
+    /** Takes the list that the process begins with. */
+    void restored(ServerList list) {
+        apply(ListKind.RESTORED, list);
+    }
+
+    /** Takes a whole list that another process of this balancer was told. */
+    void adopted(ServerList list) {
+        apply(subscribed ? ListKind.FULL : ListKind.RESTORED, list);
     }
 
     @Override
@@ -125,7 +129,7 @@
     /** Reads the file that earlier processes have left, and then polls it. Called before the start. */
     void readCordons() {
         pollFile();
-        fileThread.scheduleWithFixedDelay(this::pollFile, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        fileThread.repeat(POLL_INTERVAL_MS, this::pollFile);
     }
 
     private void pollFile() {
@@ -140,11 +144,6 @@
         }
     }
 
-    /** Runs file access on the thread that reads and writes the cordon file. */
-    void runOnFileThread(Runnable work) {
-        fileThread.execute(work);
-    }
-
     /** Changes the cordons; {@code done} gets the result after the file is written and the module has been informed. */
     void changeCordons(String server, UnaryOperator<Cordons> change, Consumer<Result> done) {
         queue.post(() -> {
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -26,15 +26,17 @@
 import calicochute.settings.Configuration;
 import calicochute.settings.SettingsException;
 import calicochute.settings.SettingsHistory;
+import calicochute.takeover.FirstList;
 import calicochute.takeover.LearntFile;
+import calicochute.takeover.ListOrigin;
 import calicochute.takeover.Origin;
 import calicochute.takeover.ProcessLock;
+import calicochute.takeover.ServerListFile;
 import calicochute.takeover.SharedFolder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -65,8 +67,13 @@
     private final DecisionQueue queue;
     private final Connector connector = new Connector();
     private final BackendServers backendServers;
+    private final FileThread fileThread = new FileThread();
     private final DiscoveryClient discovery;
+    /** As in the configuration in force. */
+    private volatile InetSocketAddress discoveryAddress;
+
     private final Membership membership;
+    private final ServerListHandover serverListHandover;
     private final Frontend frontend;
     private final AdminServer admin;
     private final ProcessLock processLock;
@@ -114,9 +121,19 @@
                 configuration.connectionIdleMicros(),
                 configuration.bounds(),
                 this);
-        membership =
-                new Membership(backendServers, stats, queue, new CordonFile(sharedFolder, settings.tier()), this::tell);
-        discovery = new DiscoveryClient(connector, queue, counters, configuration.discovery(), membership, settings);
+        // Only if successive processes of this balancer share a listening socket.
+        SharedFolder handoverFolder = inheritedSocket == null ? null : sharedFolder;
+        membership = new Membership(
+                backendServers, stats, queue, new CordonFile(sharedFolder, settings.tier()), fileThread, this::tell);
+        discoveryAddress = configuration.discovery();
+        serverListHandover = new ServerListHandover(
+                handoverFolder == null ? null : new ServerListFile(handoverFolder, ListOrigin.of(configuration)),
+                fileThread,
+                queue,
+                membership,
+                () -> discoveryAddress.toString());
+        discovery = new DiscoveryClient(
+                connector, queue, counters, configuration.discovery(), serverListHandover, settings);
         fleet = FleetFactory.create(configuration, queue, () -> settingsHistory, this::tell);
         actions = new ModuleActions(this, openSessions, backendServers, discovery, queue, counters);
         membership.setFleet(fleet);
@@ -138,18 +155,17 @@
                 ? null
                 : new AdminServer(operators, counters, frontend::handleDescriptorShortage);
         processLock = new ProcessLock(sharedFolder);
-        // Only if successive processes of this balancer share a listening socket.
-        learntStatePersistence = inheritedSocket == null || sharedFolder == null
+        learntStatePersistence = handoverFolder == null
                 ? null
                 : new LearntStatePersistence(
-                        new LearntFile(sharedFolder),
+                        new LearntFile(handoverFolder),
                         () -> Origin.of(configuration.name(), settingsHistory.current()),
                         balancer,
                         queue,
                         counters,
-                        membership::runOnFileThread,
+                        fileThread::execute,
                         () -> operators.lifecycle().state() != Lifecycle.State.STOPPING);
-        sessionIds = new SessionIds(inheritedSocket == null ? null : sharedFolder);
+        sessionIds = new SessionIds(handoverFolder);
         settings.classes().forEach(c -> stats.addClass(c.name()));
     }
 
@@ -159,7 +175,8 @@
         connector.start();
         // Before the module gets a list: a cordoned server must not get any dispatch.
         membership.readCordons();
-        queue.post(() -> restore(known));
+        FirstList first = serverListHandover.firstList(known, processLock.otherProcessAlive());
+        queue.post(() -> restore(first));
         if (learntStatePersistence != null) {
             learntStatePersistence.start();
         }
@@ -201,7 +218,8 @@
                             + changed.settings().classes().stream()
                                     .map(Balancer.RequestClass::name)
                                     .toList());
-            discovery.moveTo(changed.discovery());
+            discoveryAddress = changed.discovery();
+            discovery.moveTo(discoveryAddress);
             discovery.updateSettings(changed.settings());
             if (operators.lifecycle().state() == Lifecycle.State.STOPPING) {
                 // The platform waits for the deadlines of these settings before it kills the process.
@@ -209,7 +227,7 @@
             }
             // After the settings are in force: the operator's file is validated against them and may name a new class.
             // On the file thread, since it reads a file.
-            membership.runOnFileThread(fleet::reload);
+            fileThread.execute(fleet::reload);
         });
     }
 
@@ -220,16 +238,8 @@
         Log.warn("reload-failed", reason);
     }
 
-    private void restore(ServerList known) {
-        if (known != null) {
-            discovery.resumeFrom(known.generation());
-        }
-        ServerList first = known == null ? new ServerList(0, true, List.of(), Map.of()) : known;
-        Log.info(
-                "first-list",
-                "source=" + (known == null ? "none" : "configuration") + " generation=" + first.generation()
-                        + " entries=" + first.entries().size());
-        membership.restored(first);
+    private void restore(FirstList first) {
+        serverListHandover.start(first, discovery);
         if (!configuration.settings().subscribes()) {
             discovery.start();
         }
@@ -587,6 +597,7 @@
         }
         frontend.close();
         fleet.stop();
+        serverListHandover.stop();
         Log.info("drained", "unanswered=" + openCount);
     }
 }
--- /dev/null
+++ b/balancer/src/main/java/calicochute/takeover/SavedServerList.java
@@ -0,0 +1,16 @@
+package calicochute.takeover;
+
+import calicochute.discovery.ServerList;
+
+/**
+ * A whole server list as one process of a balancer has saved it for the others.
+ *
+ * @param version of the list
+ * @param highestGeneration the highest generation that the processes were told in any epoch: a list of at most that
+ *     generation is older than this one
+ * @param discovery address of the discovery service that the process used
+ * @param savedAtNanos when it was saved, by the system's monotonic clock
+ * @param list the list
+ */
+public record SavedServerList(
+        ListVersion version, long highestGeneration, String discovery, long savedAtNanos, ServerList list) {}
--- a/balancer/src/main/java/calicochute/takeover/SharedFolder.java
+++ b/balancer/src/main/java/calicochute/takeover/SharedFolder.java
@@ -20,9 +20,30 @@
 
     /** Writes a temporary file and renames it: a reader sees either the old text or the new one. */
     public static void replace(Path file, String text) throws IOException {
-        Path temporary = file.resolveSibling(
-                file.getFileName() + "." + ProcessHandle.current().pid());
-        Files.writeString(temporary, text);
-        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        replace(file, Long.toString(ProcessHandle.current().pid()), text);
+    }
+
+    /**
+     * As above, with a suffix for the temporary file. A writer that holds a lock can always use the same one, so that
+     * killed writers leave one file behind at most.
+     */
+    static void replace(Path file, String temporarySuffix, String text) throws IOException {
+        Path temporary = file.resolveSibling(file.getFileName() + "." + temporarySuffix);
+        try {
+            Files.writeString(temporary, text);
+            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            deleteQuietly(temporary, e);
+            throw e;
+        }
+    }
+
+    /** Gives back the room of a file that could not be written whole, such as on a full disk. */
+    private static void deleteQuietly(Path file, IOException cause) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+        }
     }
 }
