--- a/balancer/src/main/java/calicochute/node/LearntStatePersistence.java
+++ b/balancer/src/main/java/calicochute/node/LearntStatePersistence.java
@@ -8,6 +8,7 @@
 import calicochute.metrics.Log;
 import calicochute.takeover.LearntFile;
 import calicochute.takeover.Origin;
+import calicochute.takeover.SaveTime;
 import java.io.IOException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -55,9 +56,10 @@
     /** Restores the state that the previous process saved, if it is recent. */
     private void restore() {
         try {
-            LearntFile.Snapshot saved = file.read(origin.get(), System.currentTimeMillis());
+            SaveTime now = SaveTime.now();
+            LearntFile.Snapshot saved = file.read(origin.get(), now);
             if (saved != null) {
-                long ageMicros = (System.currentTimeMillis() - saved.atMs()) * 1000;
+                long ageMicros = saved.ageMs(now) * 1000;
                 Log.info(
                         "recalled",
                         "age_ms=" + ageMicros / 1000 + " servers="
@@ -78,7 +80,7 @@
         counters.checkInvariant(state.sane(), "the learnt state contains an invalid number");
         fileExecutor.accept(() -> {
             try {
-                file.write(currentOrigin, state, System.currentTimeMillis());
+                file.write(currentOrigin, state, SaveTime.now());
             } catch (IOException e) {
                 Log.warn("learnt-not-written", String.valueOf(e.getMessage()));
             }
--- a/balancer/src/main/java/calicochute/takeover/LearntFile.java
+++ b/balancer/src/main/java/calicochute/takeover/LearntFile.java
@@ -16,6 +16,8 @@
     /** Age at which the learnt state is discarded: estimates that old are worth no more than none. */
     private static final long MAX_AGE_MS = 10_000;
 
+    private static final long NANOS_PER_MS = 1_000_000;
+
     private final Gson gson = new Gson();
     private final Path file;
 
@@ -24,29 +26,36 @@
      *
      * @param version of the file format
      * @param atMs when it was written (Unix milliseconds)
+     * @param atNanos the same by the monotonic clock; null if an earlier release has written the file
      * @param origin of the learnt state
      */
-    public record Snapshot(int version, long atMs, Origin origin, LearntState learnt) {}
+    public record Snapshot(int version, long atMs, Long atNanos, Origin origin, LearntState learnt) {
+        /** The state's age; negative if it cannot be known, such as after a restart of the system. */
+        public long ageMs(SaveTime now) {
+            return atNanos == null ? now.wallMs() - atMs : Math.floorDiv(now.monotonicNanos() - atNanos, NANOS_PER_MS);
+        }
+    }
 
     public LearntFile(SharedFolder shared) {
         file = shared.file(".learnt");
     }
 
-    public void write(Origin origin, LearntState learnt, long nowMs) throws IOException {
-        SharedFolder.replace(file, gson.toJson(new Snapshot(VERSION, nowMs, origin, learnt)));
+    public void write(Origin origin, LearntState learnt, SaveTime now) throws IOException {
+        SharedFolder.replace(
+                file, gson.toJson(new Snapshot(VERSION, now.wallMs(), now.monotonicNanos(), origin, learnt)));
     }
 
     /**
      * The file's content; null if the file is missing, malformed or too old, holds values that can't have been learnt,
      * or has another origin than the reader.
      */
-    public Snapshot read(Origin reader, long nowMs) throws IOException {
+    public Snapshot read(Origin reader, SaveTime now) throws IOException {
         try {
             Snapshot snapshot = gson.fromJson(Files.readString(file), Snapshot.class);
             if (snapshot == null
                     || snapshot.version != VERSION
-                    || nowMs - snapshot.atMs > MAX_AGE_MS
-                    || nowMs < snapshot.atMs
+                    || snapshot.ageMs(now) > MAX_AGE_MS
+                    || snapshot.ageMs(now) < 0
                     || snapshot.learnt == null
                     || !snapshot.learnt.sane()) {
                 return null;
--- a/balancer/src/test/java/calicochute/takeover/LearntFileTest.java
+++ b/balancer/src/test/java/calicochute/takeover/LearntFileTest.java
@@ -16,7 +16,8 @@
 
 /** A learnt state is used only by the deployment that it was learnt in, and only if it is whole and fresh. */
 class LearntFileTest {
-    private static final long NOW_MS = 1_000_000;
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final SaveTime NOW = later(0, 0);
     private static final LearntState LEARNT = new LearntState(
             Map.of("s1", new LearntState.ServerEstimate(0.5, true, 0)),
             Map.of("view", new LearntState.ClassEstimate(9, 5, 3, 7, 1)),
@@ -30,6 +31,11 @@
     @TempDir
     private Path folder;
 
+    /** A moment as both clocks show it, after the wall clock has stepped. */
+    private static SaveTime later(long afterMs, long stepMs) {
+        return new SaveTime(1_000_000 + afterMs + stepMs, (5_000_000 + afterMs) * NANOS_PER_MS);
+    }
+
     /** The origin of a small deployment, some of whose settings are replaced by {@code key=value} entries. */
     private static Origin origin(String balancer, String... replacements) throws SettingsException {
         Map<String, String> values = new HashMap<>(Map.of(
@@ -57,7 +63,7 @@
     }
 
     private LearntState read(Origin reader) throws IOException {
-        LearntFile.Snapshot snapshot = file().read(reader, NOW_MS + 100);
+        LearntFile.Snapshot snapshot = file().read(reader, later(100, 0));
         return snapshot == null ? null : snapshot.learnt();
     }
 
@@ -67,7 +73,7 @@
 
     @Test
     void stateOfAnotherDeploymentIsNotUsed() throws Exception {
-        file().write(origin("n0"), LEARNT, NOW_MS);
+        file().write(origin("n0"), LEARNT, NOW);
         assertEquals(LEARNT, read(origin("n0")));
         String[] differences = {
             "layer=0",
@@ -88,7 +94,7 @@
     /** The state stays usable if limits, objectives or the order of the settings' lists change. */
     @Test
     void stateIsUsedAfterChangesOfLimitsAndOrder() throws Exception {
-        file().write(origin("n0"), LEARNT, NOW_MS);
+        file().write(origin("n0"), LEARNT, NOW);
         assertEquals(
                 LEARNT,
                 read(origin(
@@ -113,11 +119,11 @@
 
     @Test
     void truncatedOrOldOrOwnerlessStateIsNotUsed() throws Exception {
-        file().write(origin("n0"), LEARNT, NOW_MS);
+        file().write(origin("n0"), LEARNT, NOW);
         Path path = folder.resolve("calicochute-n0.learnt");
         String text = Files.readString(path);
-        assertNull(file().read(origin("n0"), NOW_MS + 10_001));
-        assertNull(file().read(origin("n0"), NOW_MS - 1));
+        assertNull(file().read(origin("n0"), later(10_001, 0)));
+        assertNull(file().read(origin("n0"), later(-1, 0)));
         for (int length = 0; length < text.length(); length += 7) {
             Files.writeString(path, text.substring(0, length));
             assertNull(read(origin("n0")), "truncated to " + length);
@@ -125,4 +131,25 @@
         Files.writeString(path, text.replaceFirst("\"origin\":.*\"learnt\"", "\"learnt\""));
         assertNull(read(origin("n0")));
     }
+
+    /** Guards against ages that follow steps of the wall clock between a write and a read. */
+    @Test
+    void stepsOfTheWallClockDoNotChangeTheAge() throws Exception {
+        file().write(origin("n0"), LEARNT, NOW);
+        for (long stepMs : new long[] {-3_600_000, -5_000, 5_000, 3_600_000}) {
+            LearntFile.Snapshot snapshot = file().read(origin("n0"), later(700, stepMs));
+            assertEquals(700, snapshot.ageMs(later(700, stepMs)), "step of " + stepMs);
+            assertNull(file().read(origin("n0"), later(10_001, stepMs)), "step of " + stepMs);
+        }
+    }
+
+    /** A file of an earlier release has the wall clock's time only. */
+    @Test
+    void stateOfAnEarlierReleaseIsUsed() throws Exception {
+        file().write(origin("n0"), LEARNT, NOW);
+        Path path = folder.resolve("calicochute-n0.learnt");
+        Files.writeString(path, Files.readString(path).replaceFirst("\"atNanos\":\\d+,", ""));
+        assertEquals(LEARNT, read(origin("n0")));
+        assertNull(file().read(origin("n0"), later(10_001, 0)));
+    }
 }
