--- a/balancer/src/main/java/calicochute/node/Membership.java
+++ b/balancer/src/main/java/calicochute/node/Membership.java
@@ -15,6 +15,7 @@
 import calicochute.fleet.FleetParticipant;
 import calicochute.metrics.Log;
 import calicochute.metrics.OperatorStats;
+import calicochute.takeover.WallClockOffset;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -74,9 +75,9 @@
 
     // ---- Discovery
 
-    /** Takes the list that the process begins with. */
-    void restored(ServerList list) {
-        apply(ListKind.RESTORED, list);
+    /** Takes the list that the process begins with, and the {@link WallClockOffset} of its starts. */
+    void restored(ServerList list, long wallClockOffsetMicros) {
+        apply(ListKind.RESTORED, list, wallClockOffsetMicros);
     }
 
     /** Takes a whole list that another process of this balancer was told. */
@@ -100,9 +101,13 @@
     }
 
     private void apply(ListKind kind, ServerList list) {
+        apply(kind, list, WallClockOffset.now());
+    }
+
+    private void apply(ListKind kind, ServerList list, long wallClockOffsetMicros) {
         list.addresses().forEach(backendServers::setAddress);
         List<Backend> entries = overlay.applyDiscovery(kind != ListKind.CHANGES, list.entries());
-        publish(kind, entries);
+        publish(kind, entries, wallClockOffsetMicros);
         if (kind != ListKind.CHANGES) {
             backendServers.retainOnly(list.addresses().keySet());
         }
@@ -110,7 +115,7 @@
         everListed |= !list.addresses().isEmpty();
     }
 
-    private void publish(ListKind kind, List<Backend> entries) {
+    private void publish(ListKind kind, List<Backend> entries, long wallClockOffsetMicros) {
         subscribed = kind != ListKind.RESTORED;
         // Before the decision module acts on it: a dispatch that waits for a connection is checked against this again
         // before its first byte is written.
@@ -119,7 +124,8 @@
             backendServers.recordStart(e.id(), e.startedAt());
         });
         fleet.listed(kind, entries);
-        long wallClockLead = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()) - queue.now();
+        long monotonicLead = TimeUnit.NANOSECONDS.toMicros(System.nanoTime()) - queue.now();
+        long wallClockLead = wallClockOffsetMicros + monotonicLead;
         module.accept(new BackendList(kind, entries, wallClockLead));
         stats.setMembers(overlay.listedCount(), overlay.unavailableCount());
     }
@@ -175,7 +181,8 @@
             Log.info("outages", "out=" + cordons.sinceMs().keySet());
             publish(
                     subscribed ? ListKind.CHANGES : ListKind.RESTORED,
-                    subscribed ? changed : overlay.effectiveBackends());
+                    subscribed ? changed : overlay.effectiveBackends(),
+                    WallClockOffset.now());
         }
     }
 }
--- a/balancer/src/main/java/calicochute/node/ServerListHandover.java
+++ b/balancer/src/main/java/calicochute/node/ServerListHandover.java
@@ -10,6 +10,7 @@
 import calicochute.takeover.ListVersion;
 import calicochute.takeover.SavedServerList;
 import calicochute.takeover.ServerListFile;
+import calicochute.takeover.WallClockOffset;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -40,6 +41,7 @@
     private DiscoveryClient discovery;
 
     private final WholeServerList whole = new WholeServerList();
+    private final WallClockOffset wallClockOffset = new WallClockOffset();
     private ListVersion version = new ListVersion(0, 0);
     private long highestGeneration;
     /** The newest list that is not saved yet. */
@@ -83,7 +85,8 @@
         highestGeneration = first.highestGeneration();
         Log.info("first-list", "source=" + first.source().label() + " " + describe(first.version(), first.list()));
         use(first.version(), first.list());
-        membership.restored(first.list());
+        wallClockOffset.update(first.wallClockOffsetMicros(), queue.now());
+        membership.restored(first.list(), first.wallClockOffsetMicros());
         if (file != null) {
             fileThread.repeat(POLL_INTERVAL_MS, this::poll);
         }
@@ -114,6 +117,7 @@
                     highestGeneration,
                     discoveryAddress.get(),
                     System.nanoTime(),
+                    wallClockOffset.update(WallClockOffset.now(), queue.now()),
                     whole.snapshot(version.generation())));
             fileThread.execute(this::saveIfDue);
         }
--- a/balancer/src/main/java/calicochute/takeover/FirstList.java
+++ b/balancer/src/main/java/calicochute/takeover/FirstList.java
@@ -11,9 +11,11 @@
  * @param source where it is from
  * @param version of the list
  * @param highestGeneration the highest generation that this balancer has had, as far as is known
+ * @param wallClockOffsetMicros the {@link WallClockOffset} by which the list's starts are to be read
  * @param list the list
  */
-public record FirstList(Source source, ListVersion version, long highestGeneration, ServerList list) {
+public record FirstList(
+        Source source, ListVersion version, long highestGeneration, long wallClockOffsetMicros, ServerList list) {
     /** Where a first list is from. */
     public enum Source {
         /** Saved by a process of this balancer. */
@@ -42,9 +44,7 @@
     public static FirstList choose(
             SavedServerList saved, ServerList known, String discovery, boolean otherProcessAlive) {
         if (saved == null) {
-            return known == null
-                    ? new FirstList(Source.NONE, new ListVersion(0, 0), 0, new ServerList(0, true, List.of(), Map.of()))
-                    : ofConfiguration(0, known);
+            return known == null ? none() : ofConfiguration(0, known);
         }
         boolean comparable = discovery.equals(saved.discovery());
         boolean knownIsNewer = known != null && known.generation() > saved.highestGeneration();
@@ -52,11 +52,21 @@
             return ofConfiguration(
                     comparable ? saved.version().epoch() : saved.version().epoch() + 1, known);
         }
-        return new FirstList(Source.HANDED_OVER, saved.version(), saved.highestGeneration(), saved.list());
+        return new FirstList(
+                Source.HANDED_OVER,
+                saved.version(),
+                saved.highestGeneration(),
+                saved.wallClockOffsetMicros(),
+                saved.list());
+    }
+
+    private static FirstList none() {
+        ServerList empty = new ServerList(0, true, List.of(), Map.of());
+        return new FirstList(Source.NONE, new ListVersion(0, 0), 0, WallClockOffset.now(), empty);
     }
 
     private static FirstList ofConfiguration(long epoch, ServerList known) {
-        return new FirstList(
-                Source.CONFIGURATION, new ListVersion(epoch, known.generation()), known.generation(), known);
+        ListVersion version = new ListVersion(epoch, known.generation());
+        return new FirstList(Source.CONFIGURATION, version, known.generation(), WallClockOffset.now(), known);
     }
 }
--- a/balancer/src/main/java/calicochute/takeover/SavedServerList.java
+++ b/balancer/src/main/java/calicochute/takeover/SavedServerList.java
@@ -10,7 +10,13 @@
  *     generation is older than this one
  * @param discovery address of the discovery service that the process used
  * @param savedAtNanos when it was saved, by the system's monotonic clock
+ * @param wallClockOffsetMicros the {@link WallClockOffset} by which the list's starts are to be read
  * @param list the list
  */
 public record SavedServerList(
-        ListVersion version, long highestGeneration, String discovery, long savedAtNanos, ServerList list) {}
+        ListVersion version,
+        long highestGeneration,
+        String discovery,
+        long savedAtNanos,
+        long wallClockOffsetMicros,
+        ServerList list) {}
--- a/balancer/src/main/java/calicochute/takeover/ServerListFile.java
+++ b/balancer/src/main/java/calicochute/takeover/ServerListFile.java
@@ -39,7 +39,8 @@
             ListVersion version,
             long highestGeneration,
             String discovery,
-            long savedAtNanos) {
+            long savedAtNanos,
+            long wallClockOffsetMicros) {
         boolean complete() {
             return format == FORMAT
                     && origin != null
@@ -95,7 +96,13 @@
 
     private void write(SavedServerList saved) throws IOException {
         Header header = new Header(
-                FORMAT, origin, saved.version(), saved.highestGeneration(), saved.discovery(), saved.savedAtNanos());
+                FORMAT,
+                origin,
+                saved.version(),
+                saved.highestGeneration(),
+                saved.discovery(),
+                saved.savedAtNanos(),
+                saved.wallClockOffsetMicros());
         String text = gson.toJson(header) + "\n" + ServerListJson.write(saved.list()) + "\n";
         SharedFolder.replace(file, TEMPORARY_SUFFIX, text + checksum(text) + "\n");
         // This process need not read its own list again.
@@ -114,6 +121,7 @@
                     header.highestGeneration,
                     header.discovery,
                     header.savedAtNanos,
+                    header.wallClockOffsetMicros,
                     ServerList.parse(lines[1]));
         } catch (SettingsException e) {
             Log.warn("list-not-used", file.getFileName() + ": " + e.getMessage());
--- a/balancer/src/test/java/calicochute/process/FaultShim.java
+++ b/balancer/src/test/java/calicochute/process/FaultShim.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Map;
 
 /**
  * Faults of the system under a balancer process: steps of its wall clock and calls that fail. A small library, compiled
@@ -45,7 +46,15 @@
 
     /** The shell command that has the next program load the library. */
     String export() throws Exception {
-        return "export FAULT_SHIM_FILE=" + file + " LD_PRELOAD=" + library() + "; ";
+        StringBuilder command = new StringBuilder("export");
+        environment().forEach((name, value) -> command.append(" " + name + "=" + value));
+        return command.append("; ").toString();
+    }
+
+    /** The environment variables that have a program load the library. */
+    Map<String, String> environment() throws Exception {
+        return Map.of(
+                "FAULT_SHIM_FILE", file.toString(), "LD_PRELOAD", library().toString());
     }
 
     void set(Fault fault, long value) {
--- a/balancer/src/test/java/calicochute/process/Supervisor.java
+++ b/balancer/src/test/java/calicochute/process/Supervisor.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
@@ -53,6 +54,11 @@
 
     /** With JVM flags for all processes. */
     Supervisor(String jvmFlags) throws Exception {
+        this(jvmFlags.isEmpty() ? Map.of() : Map.of("JAVA_TOOL_OPTIONS", jvmFlags));
+    }
+
+    /** With environment variables for all processes. */
+    Supervisor(Map<String, String> environment) throws Exception {
         folder = Files.createTempDirectory("calicochute-platform");
         Files.createDirectory(folder.resolve("tmp"));
         List<String> command = new ArrayList<>(List.of("perl", "-e", PERL_SCRIPT, folder.toString()));
@@ -60,9 +66,7 @@
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(folder.resolve("holder").toFile());
-        if (!jvmFlags.isEmpty()) {
-            builder.environment().put("JAVA_TOOL_OPTIONS", jvmFlags);
-        }
+        builder.environment().putAll(environment);
         perl = builder.start();
         BalancerProcess.await("the listening socket", () -> Files.exists(folder.resolve("port")));
         port = Integer.parseInt(Files.readString(folder.resolve("port")));
--- a/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
@@ -22,6 +22,10 @@
     /** News counts as told so long after the new process is healthy. */
     private static final int NEWS_MS = 2000;
 
+    private static final long HOUR_SECONDS = 3600;
+    /** Response time of the steady server where the changing one, once warm, is to be preferred. */
+    private static final long STEADY_MS = 20;
+
     private ScriptedServer changing;
     private ScriptedServer steady;
     private ScriptedDiscovery discovery;
@@ -216,4 +220,31 @@
         assertEquals(0, sendAndCountChanging());
         awaitLog(next, "INFO first-list source=handed-over generation=2");
     }
+
+    /** Guards against a cold server that counts as warm because the wall clock stepped between two processes. */
+    @Test
+    public void coldServerStaysColdAcrossAStepOfTheClockAndAnUpgrade() throws Exception {
+        supervisor.close();
+        FaultShim shim = new FaultShim();
+        supervisor = new Supervisor(shim.environment());
+        steady.script = r -> {
+            Thread.sleep(STEADY_MS);
+            return HttpMessage.response(200, "", "a map");
+        };
+        UnaryOperator<String> slowStart = config -> config.replace("\"warm_up\":1000", "\"warm_up\":20000000")
+                .replace("\"cold_from\":0.5", "\"cold_from\":0.01");
+        int old = startProcess(slowStart);
+        sendAndCountChanging();
+        tell(old, "Ready", System.currentTimeMillis());
+        awaitSaved("Ready", 2);
+        int sentByOld = sendAndCountChanging();
+        shim.set(FaultShim.Fault.CLOCK_OFFSET_SECONDS, HOUR_SECONDS);
+        discovery.setDown(true);
+        startProcess(slowStart);
+        kill(old);
+        int sentByNew = sendAndCountChanging();
+        String counts = sentByOld + " by the old process, then " + sentByNew;
+        // As a warm server it would be preferred, and get nearly all.
+        assertTrue(counts, sentByNew < REQUESTS / 2);
+    }
 }
--- a/balancer/src/test/java/calicochute/takeover/FirstListTest.java
+++ b/balancer/src/test/java/calicochute/takeover/FirstListTest.java
@@ -43,7 +43,7 @@
             long epoch,
             long generation) {
         FirstList first = FirstList.choose(
-                saved == 0 ? null : new SavedServerList(new ListVersion(2, saved), highest, "a:1", 0, list(saved)),
+                saved == 0 ? null : new SavedServerList(new ListVersion(2, saved), highest, "a:1", 0, 17, list(saved)),
                 known == 0 ? null : list(known),
                 sameDiscovery ? "a:1" : "b:1",
                 otherProcessAlive);
--- a/balancer/src/test/java/calicochute/takeover/ServerListFileTest.java
+++ b/balancer/src/test/java/calicochute/takeover/ServerListFileTest.java
@@ -29,7 +29,7 @@
 
     private static SavedServerList saved(long epoch, long generation) throws Exception {
         ServerList list = ServerList.parse(String.format(LIST, generation));
-        return new SavedServerList(new ListVersion(epoch, generation), generation, "d:1", 5, list);
+        return new SavedServerList(new ListVersion(epoch, generation), generation, "d:1", 5, 17, list);
     }
 
     private Path path() {
