--- a/balancer/src/main/java/calicochute/backend/DispatchExecution.java
+++ b/balancer/src/main/java/calicochute/backend/DispatchExecution.java
@@ -10,7 +10,9 @@
 import calicochute.exchange.Pipe;
 import calicochute.metrics.Counter;
 import calicochute.metrics.Counters;
+import calicochute.metrics.Log;
 import calicochute.pool.ConnectionPool;
+import calicochute.settings.Bounds;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 
@@ -52,6 +54,7 @@
     private Pipe response;
 
     private StallMonitor stallMonitor;
+    private boolean stallReported;
     private boolean requestWritten;
     private Connection connection;
     /** Whether the connection was leased from the pool rather than opened for this execution. */
@@ -143,15 +146,27 @@
                 // The end of the connection tells whether the last byte was sent just before.
                 connection.close();
             }
-        } else if (response != null
-                && stallMonitor.hasStalled(queue.now(), response.totalBytes(), response.bufferedBytes() == 0)) {
-            counters.count(Counter.ANSWERS_CUT);
-            finish(state.abort(Outcome.RESET), null);
-            return;
+        } else if (response != null && !stallReported) {
+            reportStall();
         }
         queue.schedule(STREAM_CHECK_INTERVAL_MICROS, this::checkStreams);
     }
 
+    /**
+     * Counts and logs a server that has stopped sending a streamed response. The response goes on as long as its client
+     * stays: a server that hangs may go on, and no silence tells that it never will.
+     */
+    private void reportStall() {
+        stallReported = stallMonitor.hasStalled(queue.now(), response.totalBytes(), response.bufferedBytes() == 0);
+        if (stallReported) {
+            counters.count(Counter.ANSWERS_STALLED);
+            Log.info(
+                    "response-stalled",
+                    "id=" + dispatch.exchange.clientId + " server=" + dispatch.server + " bytes="
+                            + response.totalBytes());
+        }
+    }
+
     private void onRequestWritten() {
         if (!state.ended() && !requestWritten) {
             requestWritten = true;
@@ -173,6 +188,11 @@
         response = streamed.pipe();
         stallMonitor = new StallMonitor(queue.now(), response.totalBytes());
         requestWritten = true;
+        if (streamed.length() >= 0 && streamed.length() <= Bounds.MAX_BUFFERED_BODY_BYTES) {
+            // Streamed only for want of memory. All of a short response is due in the client's time, not its begin.
+            Runnable onDue = () -> finish(state.abort(Outcome.RESET), null);
+            timeoutTimer = queue.schedule(dispatch.exchange.responseDue(queue.now()) - queue.now(), onDue);
+        }
         listener.responseStarted(head, streamed);
         if (!(body instanceof Body.Streamed)) {
             // For a streamed request the checks are already scheduled.
--- a/balancer/src/main/java/calicochute/exchange/Pipe.java
+++ b/balancer/src/main/java/calicochute/exchange/Pipe.java
@@ -32,6 +32,9 @@
 
     private int withheldCredit;
     private long lastProgressNanos = System.nanoTime();
+    /** When the sink last took bytes, or found none; while bytes are buffered, it has taken none since. */
+    private long sinkProgressNanos = System.nanoTime();
+
     private CreditListener creditListener;
     private Runnable readyListener;
 
@@ -59,6 +62,7 @@
             } else {
                 byte[] copy = new byte[length];
                 bytes.get(copy);
+                sinkProgressNanos = bufferedBytes == 0 ? lastProgressNanos : sinkProgressNanos;
                 buffers.add(ByteBuffer.wrap(copy));
                 bufferedBytes += length;
                 listener = readyListener;
@@ -133,6 +137,7 @@
             bufferedBytes -= written;
             if (written > 0) {
                 lastProgressNanos = System.nanoTime();
+                sinkProgressNanos = lastProgressNanos;
                 int retained = Math.min(withheldCredit, written);
                 withheldCredit -= retained;
                 pendingCredit += written - retained;
@@ -241,6 +246,11 @@
         return readStarted;
     }
 
+    /** Microseconds for which bytes have been buffered and none was taken; 0 while there are none. */
+    public synchronized long untakenMicros() {
+        return bufferedBytes == 0 ? 0 : (System.nanoTime() - sinkProgressNanos) / 1000;
+    }
+
     /** Microseconds since a byte was last put or taken. */
     public synchronized long idleMicros() {
         return (System.nanoTime() - lastProgressNanos) / 1000;
--- a/balancer/src/main/java/calicochute/frontend/ClientConnection.java
+++ b/balancer/src/main/java/calicochute/frontend/ClientConnection.java
@@ -14,6 +14,7 @@
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SocketChannel;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.function.Callback;
@@ -447,7 +448,8 @@
         if (state.receivingRequest && state.pausedSinceNanos != 0) {
             return;
         }
-        if (handler != null && handler.clientStalled() || state.receivingRequest && state.owesResponse()) {
+        if (handler != null && handler.clientStalled(TimeUnit.MILLISECONDS.toMicros(RESPONSE_STALL_MS))
+                || state.receivingRequest && state.owesResponse()) {
             // The client does not read its response or stopped sending its body; closing the connection notifies the
             // session.
             state.frontend.counters().count(Counter.CLIENTS_CLOSED_SLOW);
--- a/balancer/src/main/java/calicochute/frontend/SessionHandler.java
+++ b/balancer/src/main/java/calicochute/frontend/SessionHandler.java
@@ -325,9 +325,9 @@
         return streamingResponse;
     }
 
-    /** Whether the client does not read a streamed response although bytes are available. */
-    boolean clientStalled() {
-        return streamingResponse && responseBody.bufferedBytes() > 0;
+    /** Whether bytes of a streamed response have been available for that long and the client has read none. */
+    boolean clientStalled(long stallMicros) {
+        return streamingResponse && responseBody.untakenMicros() >= stallMicros;
     }
 
     @Override
--- a/balancer/src/main/java/calicochute/metrics/Counter.java
+++ b/balancer/src/main/java/calicochute/metrics/Counter.java
@@ -27,8 +27,8 @@
     ANSWERS_IN_PIECES,
     /** Request bodies streamed only because there was no memory to buffer them. */
     REQUESTS_STREAMED_FOR_ROOM,
-    /** Streamed responses aborted because their server stopped sending. */
-    ANSWERS_CUT,
+    /** Streamed responses whose server sent nothing for some seconds; they go on as long as their client stays. */
+    ANSWERS_STALLED,
     CLIENTS_ACCEPTED,
     CLIENTS_CLOSED_SLOW,
     CLIENTS_CLOSED_FLOODING,
