--- a/balancer/src/main/java/calicochute/discovery/DiscoveryClient.java
+++ b/balancer/src/main/java/calicochute/discovery/DiscoveryClient.java
@@ -92,7 +92,7 @@
     public void updateSettings(Settings settings) {
         schedule.setMaxPause(maxPauseMicros(settings), queue.now());
         if (!settings.subscribes()) {
-            start();
+            startSpread();
         }
         runDueActions();
     }
@@ -104,10 +104,18 @@
 
     /**
      * Starts the watch without a request of the decision module, for settings in which lists are pushed: they arrive on
-     * a watch too, the decision module requests none, and updates have to be known from the first moment of the
-     * process.
+     * a watch too, the decision module requests none, and calls cost discovery nothing. The first call is made at once:
+     * what discovery has counts as known from the first moment of the process.
      */
-    public void start() {
+    public void startAtOnce() {
+        if (!schedule.isActive()) {
+            schedule.startAtOnce(queue.now());
+            runDueActions();
+        }
+    }
+
+    /** As above after a reload, which all balancers get at the same moment: the starts are spread. */
+    private void startSpread() {
         if (!schedule.isActive()) {
             schedule.start(queue.now(), WatchSchedule.START_SPREAD_MICROS);
             runDueActions();
--- a/balancer/src/main/java/calicochute/discovery/WatchSchedule.java
+++ b/balancer/src/main/java/calicochute/discovery/WatchSchedule.java
@@ -64,7 +64,11 @@
     static final long MAX_SECOND_RETRY_MICROS = 1_000_000;
     /** Spread of the starts of watches after a move to another address. */
     static final long MOVE_SPREAD_MICROS = 1_200_000;
-    /** Spread of the starts of watches at the start of a process and after a reload. */
+    /**
+     * Wait of the first call of a process where calls cost nothing, in milliseconds: it only asks what discovery has.
+     */
+    static final long IMMEDIATE_WAIT_MS = 1;
+    /** Spread of the starts of watches after a reload. */
     static final long START_SPREAD_MICROS = 150_000;
     /** Minimum pause after a failed call, and after a response that arrived immediately and reported no change. */
     static final long MIN_PAUSE_MICROS = 100_000;
@@ -94,6 +98,9 @@
     /** How many of the next calls use the early retry times. */
     private int earlyRetries;
 
+    /** Wait of the next call that does not continue a watch, in milliseconds. */
+    private long initialWaitMs = INITIAL_WAIT_MS;
+
     /** The address changed and no call was answered since. */
     private boolean afterMove;
     /** The next call starts beside two calls that may still be waiting in discovery's queue. */
@@ -185,6 +192,12 @@
         nextStartAt = now + random.nextLong(spreadMicros + 1);
     }
 
+    /** Starts the watch at once, with a call that does not wait for changes. */
+    void startAtOnce(long now) {
+        start(now, 0);
+        initialWaitMs = IMMEDIATE_WAIT_MS;
+    }
+
     /**
      * Restarts the watch for another address; failures at the old one do not count. The start is spread because all
      * balancers are moved at the same moment.
@@ -203,6 +216,7 @@
         unansweredCalls = 0;
         continuesWatch = false;
         earlyRetries = 0;
+        initialWaitMs = INITIAL_WAIT_MS;
         afterMove = false;
         thirdCallNext = false;
     }
@@ -229,7 +243,8 @@
         unansweredCalls += thirdCallNext ? 0 : pendingCalls.size();
         Call call = continuesWatch
                 ? new Call(random.nextLong(MIN_WAIT_MS, MAX_WAIT_MS + 1), now, connectionOpen)
-                : new Call(INITIAL_WAIT_MS, now, false);
+                : new Call(initialWaitMs, now, false);
+        initialWaitMs = INITIAL_WAIT_MS;
         thirdCallNext = afterMove && earlyRetries == 1;
         nextStartAt = now
                 + (continuesWatch
--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -58,6 +58,8 @@
     private static final long ACCEPT_HANDOVER_NANOS = 100_000_000L;
     /** Interval of the checks of client connections' timeouts. */
     private static final long TIMEOUT_CHECK_MICROS = 50_000;
+    /** Where lists are pushed: how long the start waits for discovery's first answer, which comes at once if at all. */
+    private static final long FIRST_LIST_TIMEOUT_MS = 1000;
     /** Greatest time that a stop waits for sessions and connections to end. */
     private static final long MAX_DRAIN_NANOS = 10_000_000_000L;
 
@@ -184,6 +186,10 @@
         if (admin != null) {
             Log.info("admin", "address=" + admin.start(configuration.admin()));
         }
+        if (!configuration.settings().subscribes()) {
+            // What discovery has counts as known from the first moment, so clients are served by it from the first on.
+            serverListHandover.awaitFirstCall(FIRST_LIST_TIMEOUT_MS);
+        }
         InetSocketAddress address = frontend.start();
         queue.post(this::checkTimeouts);
         operators.listening();
@@ -241,7 +247,7 @@
     private void restore(FirstList first) {
         serverListHandover.start(first, discovery);
         if (!configuration.settings().subscribes()) {
-            discovery.start();
+            discovery.startAtOnce();
         }
     }
 
--- a/balancer/src/main/java/calicochute/node/ServerListHandover.java
+++ b/balancer/src/main/java/calicochute/node/ServerListHandover.java
@@ -12,6 +12,7 @@
 import calicochute.takeover.ServerListFile;
 import calicochute.takeover.WallClockOffset;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
@@ -44,6 +45,8 @@
     private final WallClockOffset wallClockOffset = new WallClockOffset();
     private ListVersion version = new ListVersion(0, 0);
     private long highestGeneration;
+    /** Open until discovery has answered for the first time, or a call has failed. */
+    private final CountDownLatch firstCallEnded = new CountDownLatch(1);
     /** The newest list that is not saved yet. */
     private final AtomicReference<SavedServerList> unsaved = new AtomicReference<>();
 
@@ -105,9 +108,21 @@
 
     // ---- Discovery
 
+    /**
+     * Waits for a limited time until the process serves by what discovery has now, or discovery cannot be asked. Called
+     * on the starting thread.
+     */
+    void awaitFirstCall(long timeoutMs) throws InterruptedException {
+        boolean ended = firstCallEnded.await(timeoutMs, TimeUnit.MILLISECONDS);
+        if (!ended) {
+            Log.warn("list-not-awaited", "discovery has not answered within " + timeoutMs + " ms");
+        }
+    }
+
     @Override
     public void serverListReceived(ServerList told) {
         membership.serverListReceived(told);
+        firstCallEnded.countDown();
         whole.apply(told);
         version = told.full() ? version.afterWhole(told.generation()) : version.afterChanges(told.generation());
         highestGeneration = Math.max(highestGeneration, told.generation());
@@ -126,6 +141,7 @@
     @Override
     public void discoveryUnavailable() {
         membership.discoveryUnavailable();
+        firstCallEnded.countDown();
     }
 
     // ---- Other processes
