--- a/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
+++ b/balancer/src/main/java/calicochute/listening/ConnectionAcceptor.java
@@ -51,9 +51,16 @@
     /** How long {@link #stopAccepting} waits for the accepting thread. */
     private static final long STOP_TIMEOUT_MS = 1000;
 
+    /**
+     * Send buffer of a connection. The system chooses up to some megabytes, and takes further bytes only once a third
+     * of them has been read: a slow reader then looks like one that has stopped reading.
+     */
+    private static final int SEND_BUFFER_BYTES = 1 << 17;
+
     private static final IOReactorConfig REACTOR_CONFIG = IOReactorConfig.custom()
             .setIoThreadCount(1)
             .setTcpNoDelay(true)
+            .setSndBufSize(SEND_BUFFER_BYTES)
             .setSelectInterval(TimeValue.ofMilliseconds(100))
             .build();
     private final ServerSocketChannel socket;
