--- a/balancer/src/main/java/calicochute/node/Node.java
+++ b/balancer/src/main/java/calicochute/node/Node.java
@@ -48,12 +48,6 @@
 public final class Node implements SessionListener, DispatchListener {
     /** Time allowed for writing a dispatch. */
     private static final long WRITE_MARGIN_MICROS = 10_000;
-    /**
-     * At a stop, the time that clients have to read the rest of a streamed response. A client that reads more slowly
-     * would not finish before the process is killed.
-     */
-    private static final long RESPONSE_TAIL_MICROS = 100_000;
-
     /** Time until a connection accepted last is registered with its I/O thread and counted as open. */
     private static final long ACCEPT_HANDOVER_NANOS = 100_000_000L;
     /** Interval of the checks of client connections' timeouts. */
@@ -88,8 +82,7 @@
     private final Map<Long, Exchange> openSessions = new HashMap<>();
     private final DeadlineGuards deadlineGuards;
     private final SessionIds sessionIds;
-    /** After SIGTERM: the timer that cuts off streamed responses. */
-    private DecisionQueue.Timer streamCut;
+    private final StopDeadline stopDeadline;
 
     /** Size of {@link #openSessions}, for other threads. */
     private volatile int openCount;
@@ -150,8 +143,15 @@
                 operators::lifecycle,
                 () -> settingsHistory);
         operators.onCloseIdle(frontend::closeIdle);
-        deadlineGuards = new DeadlineGuards(
-                queue, () -> operators.lifecycle().responseDeadline(settingsHistory::longestDeadline), this::overdue);
+        deadlineGuards = new DeadlineGuards(queue, this::responseDeadline, this::overdue);
+        stopDeadline = new StopDeadline(
+                queue,
+                counters,
+                openSessions.values(),
+                deadlineGuards,
+                this::responseDeadline,
+                backendServers::cancel,
+                frontend::abortStreamedResponses);
         connector.onDescriptorShortage(frontend::handleDescriptorShortage);
         admin = configuration.admin() == null
                 ? null
@@ -196,6 +196,11 @@
         return address;
     }
 
+    /** The time by which a stop of the process requires all responses. */
+    private long responseDeadline() {
+        return operators.lifecycle().responseDeadline(settingsHistory::longestDeadline);
+    }
+
     private void checkTimeouts() {
         frontend.checkTimeouts();
         if (admin != null) {
@@ -229,7 +234,7 @@
             discovery.updateSettings(changed.settings());
             if (operators.lifecycle().state() == Lifecycle.State.STOPPING) {
                 // The platform waits for the deadlines of these settings before it kills the process.
-                applyStopDeadline();
+                stopDeadline.apply();
             }
             // After the settings are in force: the operator's file is validated against them and may name a new class.
             // On the file thread, since it reads a file.
@@ -532,43 +537,6 @@
 
     // ---- Stop
 
-    /**
-     * Ends streamed responses that would otherwise be unfinished when the platform kills the process. A response whose
-     * server has not finished is cut off here; what a client has not read a little later is lost with its connection,
-     * whether the server has finished or not.
-     */
-    private void cutStreamedResponses() {
-        openSessions.values().stream()
-                .filter(e -> e.streamingResponse() && e.latestDispatch().pending())
-                .toList()
-                .forEach(e -> {
-                    cutByStop(e);
-                    backendServers.cancel(e.latestDispatch());
-                });
-        queue.schedule(RESPONSE_TAIL_MICROS, () -> {
-            openSessions.values().stream()
-                    .filter(e -> e.streamingResponse() && !e.responseAborted())
-                    .forEach(this::cutByStop);
-            frontend.abortStreamedResponses();
-        });
-    }
-
-    private void cutByStop(Exchange exchange) {
-        counters.count(Counter.SESSIONS_ENDED_BY_STOP);
-        exchange.setResponseAborted(true);
-    }
-
-    /** Makes sure that open sessions are answered before the platform kills this process, by the deadlines in force. */
-    private void applyStopDeadline() {
-        deadlineGuards.reschedule(openSessions.values());
-        if (streamCut != null) {
-            streamCut.cancel();
-        }
-        streamCut = queue.schedule(
-                Math.max(0, operators.lifecycle().responseDeadline(settingsHistory::longestDeadline) - queue.now()),
-                this::cutStreamedResponses);
-    }
-
     /**
      * Stops the process after SIGTERM: accepts clients a little longer unless another process does, answers all
      * accepted sessions, and returns.
@@ -577,7 +545,7 @@
         CountDownLatch stopBegun = new CountDownLatch(1);
         queue.post(() -> {
             operators.stop(processLock.otherProcessAlive());
-            applyStopDeadline();
+            stopDeadline.apply();
             stopBegun.countDown();
         });
         stopBegun.await();
