--- a/balancer/src/main/java/calicochute/node/FileThread.java
+++ b/balancer/src/main/java/calicochute/node/FileThread.java
@@ -10,7 +10,7 @@
 /** The thread that reads and writes files, so that the decision thread does not wait for a disk. */
 final class FileThread {
     private final ScheduledExecutorService executor =
-            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("outage-file", true));
+            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("shared-files", true));
 
     void execute(Runnable work) {
         executor.execute(() -> run(work));
--- a/balancer/src/test/java/calicochute/process/Supervisor.java
+++ b/balancer/src/test/java/calicochute/process/Supervisor.java
@@ -98,6 +98,13 @@
         return instance;
     }
 
+    /** Edits the configuration of a process and has it read again. */
+    void reload(int instance, UnaryOperator<String> edit) throws Exception {
+        Path config = folder.resolve("config" + instance);
+        Files.writeString(config, edit.apply(Files.readString(config)));
+        signal(instance, "HUP");
+    }
+
     void signal(int instance, String name) throws Exception {
         assertEquals(
                 0,
--- a/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
@@ -135,6 +135,28 @@
         unreachable.close();
     }
 
+    /** The generations of two addresses cannot be compared; the list counts that the balancer serves by. */
+    @Test
+    public void listToldByADiscoveryAfterAMoveIsHandedOver() throws Exception {
+        ScriptedDiscovery former = new ScriptedDiscovery(changing, steady);
+        UnaryOperator<String> atFormer = config -> config.replace(discovery.server.address(), former.server.address());
+        int old = startProcess(atFormer);
+        supervisor.reload(old, config -> config.replace(former.server.address(), discovery.server.address()));
+        awaitLog(old, "INFO reloaded discovery=");
+        tell(old, "Gone", 0);
+        awaitSaved("reset", 2);
+        former.setDown(true);
+        discovery.setDown(true);
+        // One process does not know of the move, and has a list of a higher generation.
+        int next = startProcess(config -> atFormer.apply(config).replace("\"generation\":1", "\"generation\":7"));
+        int last = replaceInOutage(old);
+        kill(next);
+        assertEquals(0, sendAndCountChanging());
+        awaitLog(next, "INFO first-list source=handed-over generation=2");
+        awaitLog(last, "INFO first-list source=handed-over generation=2");
+        former.close();
+    }
+
     /** The other direction: the old process serves on until it is killed. */
     @Test
     public void changeToldToTheNewProcessReachesTheOldOne() throws Exception {
