--- a/balancer/src/main/java/calicochute/discovery/DiscoveryClient.java
+++ b/balancer/src/main/java/calicochute/discovery/DiscoveryClient.java
@@ -25,6 +25,12 @@
     /** Lists longer than this are parsed on a thread of their own. */
     private static final int LARGE_LIST_BYTES = 1 << 16;
 
+    /**
+     * After so many responses in a row of an older generation, discovery has begun its generations anew without telling
+     * the whole list, which is then requested. A single one may be a late response.
+     */
+    private static final int MAX_OLDER_RESPONSES = 2;
+
     /** Longest response that is accepted. */
     private static final int MAX_BODY_BYTES = 1 << 23;
 
@@ -41,6 +47,8 @@
 
     private DecisionQueue.Timer timer;
     private long generation;
+    /** Responses in a row whose generation was older than the current one. */
+    private int olderResponses;
     /** A list was reported since the watch started or since discovery became unavailable. */
     private boolean reported;
     /** Discovery was reported as unavailable. */
@@ -223,6 +231,17 @@
         }
     }
 
+    /** Has the whole list requested at once. */
+    private void requestWholeList(WatchConnection source, WatchSchedule.Call call) {
+        Log.warn("discovery-restarted", "generations are older than " + generation + "; the whole list is requested");
+        pendingCalls.remove(call);
+        pendingCalls.values().forEach(WatchConnection::close);
+        pendingCalls.clear();
+        watchConnection = source;
+        schedule.answered(call, false, queue.now());
+        runDueActions();
+    }
+
     /** The result of parsing a response: a list, or the error. */
     private record ParseResult(ServerList list, String error) {}
 
@@ -262,8 +281,9 @@
         }
 
         private void send(WatchSchedule.Call call) {
-            BasicHttpRequest request =
-                    new BasicHttpRequest("GET", PATH + "?since=" + generation + "&timeout_ms=" + call.waitMs);
+            String query =
+                    olderResponses < MAX_OLDER_RESPONSES ? "?since=" + generation + "&timeout_ms=" + call.waitMs : "";
+            BasicHttpRequest request = new BasicHttpRequest("GET", PATH + query);
             request.addHeader("Host", address.getHostString() + ":" + address.getPort());
             connection.call(request, new byte[0], MAX_BODY_BYTES, result -> parseResponse(call, result));
         }
@@ -315,6 +335,12 @@
             if (list == null) {
                 counters.count(Counter.DISCOVERY_MALFORMED);
                 fail(call, parsed.error());
+                return;
+            }
+            olderResponses = list.full() || list.generation() >= generation ? 0 : olderResponses + 1;
+            if (olderResponses == MAX_OLDER_RESPONSES) {
+                counters.count(Counter.DISCOVERY_OLDER);
+                requestWholeList(this, call);
             } else if (list.isOlderUpdate(generation)) {
                 // Changes older than the current generation are rejected as a whole, as newer ones were applied
                 // already.
--- a/balancer/src/test/java/calicochute/process/ScriptedDiscovery.java
+++ b/balancer/src/test/java/calicochute/process/ScriptedDiscovery.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A discovery service with whole lists and watches; while it is down it closes each connection without a response. */
 final class ScriptedDiscovery implements AutoCloseable {
@@ -43,24 +45,24 @@
         notifyAll();
     }
 
-    /** Begins the generations anew; the next response is the whole list. */
-    synchronized void restart() {
+    /** Begins the generations anew; {@code tellsWhole}: the next response is the whole list, even if not requested. */
+    synchronized void restart(boolean tellsWhole) {
         generation = 1;
         changedAt.replaceAll((id, at) -> 1L);
-        wholeNext = true;
+        wholeNext = tellsWhole;
         notifyAll();
     }
 
     private synchronized byte[] respond(HttpMessage request) throws Exception {
-        long since = number(request, "since");
-        long endNanos = System.nanoTime() + number(request, "timeout_ms") * 1_000_000;
+        long since = number(request, "since", -1);
+        long endNanos = System.nanoTime() + number(request, "timeout_ms", 0) * 1_000_000;
         while (!down && !wholeNext && generation <= since && System.nanoTime() < endNanos) {
             wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
         }
         if (down) {
             return null;
         }
-        boolean whole = wholeNext;
+        boolean whole = wholeNext || since < 0;
         wholeNext = false;
         StringBuilder instances = new StringBuilder();
         entries.forEach((id, entry) -> {
@@ -74,8 +76,9 @@
                 "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + instances + "]}");
     }
 
-    private static long number(HttpMessage request, String name) {
-        return Long.parseLong(request.firstLine().replaceAll(".*[?&]" + name + "=(\\d+).*", "$1"));
+    private static long number(HttpMessage request, String name, long otherwise) {
+        Matcher parameter = Pattern.compile("[?&]" + name + "=(\\d+)").matcher(request.firstLine());
+        return parameter.find() ? Long.parseLong(parameter.group(1)) : otherwise;
     }
 
     @Override
--- a/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
+++ b/balancer/src/test/java/calicochute/process/UpgradeServerListTest.java
@@ -190,7 +190,7 @@
         int next = replaceInOutage(old);
         assertEquals(0, sendAndCountChanging());
         discovery.set(changing, "Ready", 0);
-        discovery.restart();
+        discovery.restart(true);
         discovery.setDown(false);
         awaitLog(next, "INFO list generation=1 whole=true entries=2");
         assertTrue(sendAndCountChanging() > 0);
@@ -200,6 +200,19 @@
         awaitLog(last, "INFO first-list source=handed-over generation=1 epoch=1");
     }
 
+    /** As above, by a discovery that does not tell the whole list by itself, and so would never be heard again. */
+    @Test
+    public void discoveryThatCountsLowerIsAskedForTheWholeList() throws Exception {
+        int old = startProcess();
+        tell(old, "Terminating", 0);
+        int next = replaceInOutage(old);
+        discovery.set(changing, "Ready", 0);
+        discovery.restart(false);
+        discovery.setDown(false);
+        awaitLog(next, "INFO list generation=1 whole=true entries=2");
+        assertTrue(sendAndCountChanging() > 0);
+    }
+
     /** A list in the configuration that is newer than the saved one is used, and the saved one does not come back. */
     @Test
     public void newerListOfTheConfigurationIsUsed() throws Exception {
